--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -555,3 +555,10 @@
         lane.calls += 1
         lane.credit -= 1 + FURTHER * (len(crew) - 1) if now < lane.cold_since + self.s.safety.cold_ms else 1
         self.busy += 1
+
+    # -- what operators see ------------------------------------------------------------------------------
+
+    def avoided(self, now: float) -> set[int]:
+        """The listed endpoints to which nothing goes but what asks whether they are back, or that go last."""
+        return {ident for ident, door in self.doors.items()
+                if suspect(door.lane, now) or any(now - at < FADE_MS for at in door.faults.values())}
--- a/linnetstile/net/config.py
+++ b/linnetstile/net/config.py
@@ -31,6 +31,7 @@
     known: dict[str, Any]
     settings: Settings
     zones: tuple[str, ...]
+    mgmt: Address | None = None  # where operators call; None: nowhere
 
 
 def address(text: object) -> Address:
@@ -55,13 +56,14 @@
         if missing:
             raise ConfigError(f"{path}: {missing[0]} is missing")
         limits = raw.get("limits", {})
+        mgmt = env.get("RELAY_MGMT") or raw.get("mgmt")
         return Config(
             name=str(told["name"]), listen=address(told["listen"]), discovery=address(told["discovery"]),
             state=Path(str(told["state"])), seed=int(str(raw.get("seed", "0")), 16),
             sockets=min(1024, int(limits.get("sockets", 1024))),
             disk_bytes=int(float(limits.get("disk_mb", 3)) * 1e6),
             known=dict(raw.get("known") or {}), settings=settings_from(json.dumps(raw["settings"])),
-            zones=tuple(raw["settings"].get("zones", ())),
+            zones=tuple(raw["settings"].get("zones", ())), mgmt=address(mgmt) if mgmt else None,
         )
     except OSError as error:
         raise ConfigError(f"RELAY_CONFIG: {error}") from error
--- a/linnetstile/net/egress.py
+++ b/linnetstile/net/egress.py
@@ -34,6 +34,7 @@
     give_up_at: float  # on the loop's clock, in seconds
     may_write: Callable[[], bool]  # asked right before the first byte, and the last if it is held back
     careful: bool = False  # an unclear outcome would be final
+    class_: str = ""  # for the figures
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,8 +122,9 @@
 class Egress:
     def __init__(
         self, idle_ms: float, connect_timeout_ms: float, most_idle: int, most_ending: int = 16,
-        report_fields: tuple[str, ...] = (),
+        report_fields: tuple[str, ...] = (), written: Callable[[list[Call]], None] = lambda calls: None,
     ) -> None:
+        self.written = written  # told of each message whose call's last byte is out
         self.report_fields = report_fields
         self.idle_s = IDLE_SHARE * idle_ms / 1000
         self.connect_s = connect_timeout_ms / 1000 or None
@@ -211,6 +213,7 @@
                         sent.clear()
                         return None
                     await link.finish()
+                self.written(sent)
                 whole, link = link, None
                 return whole
             except LinkLost:
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -14,8 +14,13 @@
 from .config import Config
 from .discovery import Directory, Watch
 from .egress import Answer, Call, Egress, line_of
+from .figures import Figures
 from .ingress import Ingress, Reply, Request
 from .journal import Entry, Journal, JournalError
+from .management import SOCKETS as DOOR_SOCKETS
+from .management import Answer as Told
+from .management import Call as Ask
+from .management import Door
 from .outcomes import Notices
 from .tasks import Tasks
 
@@ -23,6 +28,7 @@
 
 NAME_BYTES = 200  # an id or a key, at most
 SWEEP_S = 1.0
+LOOK_AT_POOL_S = 0.25  # operators are shown nothing that is older than twice this
 OWN_SOCKETS = 24  # the loop's, the log's, the listener's, the journal's and two agents' descriptors
 RETRY_S = 1.0  # a client that finds the hold full is told to come again so much later
 DEST_MS = 60_000.0  # a destination without endpoints is known for so long: past any message's time
@@ -60,9 +66,14 @@
         self.dests: dict[int, float] = {}  # each destination listed of late, and until when it is known
         idle, ending = max(1, config.sockets // 8), max(1, config.sockets // 16)
         self.egress = Egress(config.settings.idle_ms, config.settings.connect_timeout_ms, idle, ending,
-                             config.settings.report_fields)
+                             config.settings.report_fields, self._written)
+        self.figures = Figures(self.classes)
+        self.draining = False  # clients are sent away until a resume
+        self.stopping = False
+        self.door: Door | None = None
+        self.loop: asyncio.AbstractEventLoop | None = None
         # Clients get what calls cannot need: so a flood of connections leaves every call its descriptor.
-        clients = config.sockets - OWN_SOCKETS - config.settings.slots - idle - ending
+        clients = config.sockets - OWN_SOCKETS - DOOR_SOCKETS - config.settings.slots - idle - ending
         self.ingress = Ingress(self.take, self.withdraw, max(1, clients), config.sockets // 12)
         self.watch = Watch(Agent(config.discovery), self.directory, self.listed)
         self.notices = Notices(Agent(config.discovery), self.noticed)
@@ -86,6 +97,15 @@
     # -- life --------------------------------------------------------------------------------------------
 
     async def start(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        if self.config.mgmt is not None:
+            self.door = Door({
+                "/-/ready": Ask("GET", self._tell_ready),
+                "/-/metrics": Ask("GET", lambda: Told(200, self.figures.text())),
+                "/-/drain": Ask("POST", lambda: self.drain(True)),
+                "/-/resume": Ask("POST", lambda: self.drain(False)),
+            })
+            self.door.open(self.config.mgmt)
         if self.config.known:
             try:
                 self.listed(self.directory.apply(self.config.known))
@@ -95,9 +115,10 @@
         self._step()
         self._talk()
         self.tasks.start(self._sweep())
+        self.tasks.start(self._look_at_pool())
         self.tasks.start(self.ingress.watch())
-        self.ready = True
         await self.ingress.listen(*self.config.listen)
+        self.ready = True
 
     def _talk(self) -> None:
         self.talks = [self.tasks.start(self.watch.run()), self.tasks.start(self.notices.run())]
@@ -120,7 +141,7 @@
     async def stop(self) -> None:
         """A planned restart: what cannot end in time stays in the journal."""
         loop = asyncio.get_running_loop()
-        begun = loop.time()
+        begun, self.stopping = loop.time(), True
         self._feed(api.Closing((begun + CALLS_END_S) * 1000))
         await asyncio.sleep(SERVE_ON_S)
         self.ingress.stop()
@@ -133,7 +154,9 @@
         await self.close()
 
     async def close(self) -> None:
-        self.closed = True
+        self.closed = self.stopping = True
+        if self.door is not None:
+            self.door.close()
         self.ingress.stop()
         await self.tasks.cancel()
         for timer in (self.turn, self.timer):
@@ -144,6 +167,44 @@
         self.notices.agent.close()
         self.journal.close()
 
+    # -- operators ---------------------------------------------------------------------------------------
+
+    def _tell_ready(self) -> Told:
+        """Called on the door's thread, as are the other calls that it is given."""
+        if self.ready and not self.stopping and not self.draining:
+            return Told(200, "ready")
+        why = "stopping" if self.stopping else "draining" if self.draining else "starting"
+        return Told(503, f"takes no clients: {why}")
+
+    def drain(self, on: bool) -> Told:
+        """The flag holds at once, whatever the loop is at; connections follow with its next turn."""
+        self.draining = on
+        if self.loop is not None:
+            self.loop.call_soon_threadsafe(self._send_away)
+        return Told(200, "draining" if on else "serving")
+
+    def _send_away(self) -> None:
+        if self.draining:
+            self.ingress.send_away()
+        else:
+            self.ingress.welcome()
+
+    async def _look_at_pool(self) -> None:
+        gauges = self.figures.gauges
+        while True:
+            try:
+                gauges["pool_size"] = len(self.directory.by_number)
+                gauges["pool_ejected"] = len(self.relay.avoided(self.now()))
+            except Exception:
+                log.exception("the pool's figures could not be read")
+            await asyncio.sleep(LOOK_AT_POOL_S)
+
+    def _written(self, calls: list[Call]) -> None:
+        for call in calls:
+            self.figures.tried(call.class_)
+
+    # -- the start -------------------------------------------------------------------------------------
+
     def _resume(self) -> None:
         """Takes up what an earlier process left: it owes each message its end."""
         now = unix_ms()
@@ -265,7 +326,7 @@
         """One request of a client. All of it happens before the next event of the loop."""
         path = request.target.partition("?")[0]
         if request.method == "GET" and path == "/healthz":
-            return Reply(200 if self.ready else 503)
+            return Reply(200 if self.ready and not self.draining else 503)
         if request.method != "POST":
             return Reply(405, "POST a message, or GET /healthz")
         try:
@@ -277,11 +338,13 @@
             return Reply(202)  # also while it is under way: it is one message, however often it comes
         if len(self.held) >= self.settings.hold:
             log.info("message %s for %d: turned away, %d are held", entry.id, entry.dest, len(self.held))
+            self.figures.ended(entry.class_, "returned")
             return Reply(503, "this relay holds as many messages as it may", retry_s=RETRY_S)
         try:
             self.journal.take(entry)
         except JournalError as error:
             log.warning("refused a message: %s", error)
+            self.figures.ended(entry.class_, "returned")
             return Reply(503, str(error), retry_s=RETRY_S)
         log.info("message %s for %d: taken on, %.0f ms left, key %s%s", entry.id, entry.dest,
                  entry.due - entry.since, entry.key, ", second try " * bool(entry.again) + entry.again)
@@ -323,6 +386,7 @@
               risk_age_ms: float | None = None, risk: api.Endpoint | None = None) -> None:
         self.last_number += 1
         self.held[self.last_number] = Held(entry)
+        self.figures.gauges["active"] = len(self.held)
         self.numbers[entry.id] = self.last_number
         self._feed(api.Message(
             self.last_number, entry.dest, self.classes[entry.class_], entry.due - unix_ms(),
@@ -348,6 +412,7 @@
     def _let_go(self, number: int) -> None:
         """No end is owed any more; a call that is out keeps its own reference."""
         held = self.held.pop(number, None)
+        self.figures.gauges["active"] = len(self.held)
         if held is not None:
             self.numbers.pop(held.entry.id, None)
             held.entry.body = b""
@@ -361,6 +426,7 @@
     def _end(self, entry: Entry, state: str, after_ms: float = 0.0) -> None:
         log.info("message %s for %d: %s after %.0f ms, %d tries, come again in %.0f ms", entry.id, entry.dest,
                  state, unix_ms() - entry.since, entry.tries, after_ms)
+        self.figures.ended(entry.class_, state)
         self._journal(lambda: self.journal.ended(entry, state, after_ms))
         if entry.owes_notice:
             self.notices.add(entry.id, state, after_ms)
@@ -389,7 +455,8 @@
                 answers = await self.egress.together([Call(
                     endpoint, known.address, held.entry.id, held.entry.key, held.entry.body, until / 1000,
                     self._gate(number, held.entry, known.name, known.entry.zone),
-                    careful=self._effect(held.entry) is api.Effect.UNSAFE) for number, held in group])
+                    careful=self._effect(held.entry) is api.Effect.UNSAFE, class_=held.entry.class_)
+                    for number, held in group])
         except asyncio.CancelledError:
             answers = [Answer(api.Outcome.CANCELLED)] * len(group)  # by the module, or at the process's end
         except Exception:
--- a/linnetstile/net/ingress.py
+++ b/linnetstile/net/ingress.py
@@ -28,6 +28,7 @@
 DISCARD_S = 4.0  # the same for a body that is far too long
 DISCARD_BYTES = 64 << 20  # and how much of it is read and thrown away
 PENALTY_S = 0.1  # what follows a request that made no sense is read so much later
+PART_S = 1.7  # so long after clients are sent away none may stand idle: their last answer is 2 s old, or near
 SWEEP_S = 0.1  # how often it is looked whose time is up
 # A message whose head says one of these twice has two meanings: ours and that of whoever reads it next.
 ONCE = frozenset(("host", "transfer-encoding", "idempotency-key", "x-addressing", "x-customer",
@@ -289,6 +290,7 @@
         self.resting: dict[ClientConnection, None] = {}  # between messages; longest idle first
         self.lingering: dict[ClientConnection, None] = {}  # answered for the last time
         self.server: asyncio.Server | None = None
+        self.away_by = float("inf")  # no idle connection is kept from then on
 
     async def listen(self, host: str, port: int) -> None:
         loop = asyncio.get_running_loop()
@@ -309,13 +311,20 @@
 
     @property
     def crowded(self) -> bool:
-        """So many stand idle that the next ones are not kept: their answers say so."""
-        return len(self.visiting) + len(self.resting) >= self.roomy
+        """So many stand idle that the next ones are not kept, or none are: their answers say so."""
+        return self.away_by < float("inf") or len(self.visiting) + len(self.resting) >= self.roomy
+
+    def send_away(self) -> None:
+        """Each answer from now on ends its connection; those that still stand idle end a little later."""
+        self.away_by = min(self.away_by, asyncio.get_running_loop().time() + PART_S)
+
+    def welcome(self) -> None:
+        self.away_by = float("inf")
 
     def _due(self, now: float) -> set[ClientConnection]:
         due = {each for each in self.connections if each.deadline <= now}
         if self.crowded:
-            by = now - SPARED_S + IDLE_S
+            by = now + IDLE_S - (SPARED_S if now < self.away_by else 0.0)
             due.update(each for each in (*self.visiting, *self.resting) if each.deadline <= by)
         return due
 
--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -149,7 +149,8 @@
             self._compact()
 
     def close(self) -> None:
-        os.close(self.file)
+        if self.file >= 0:
+            os.close(self.file)
         self.file = -1  # Guards whatever gets this descriptor next against a late record
 
     # -- memory ------------------------------------------------------------------------------------------
