--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -9,8 +9,9 @@
 import random
 
 from .interface import (
-    Action, AttemptEnded, Closing, Effect, Endpoint, EndpointList, Event, Fail, Listing, ListKind, Message,
-    Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings, TimerFired, WatchList, Withdrawn,
+    Action, AttemptEnded, Closing, Duty, Effect, Elsewhere, Endpoint, EndpointList, Event, Fail, HandOver,
+    Learned, Listing, ListKind, Message, Mode, Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings,
+    TimerFired, WatchList, Withdrawn,
 )
 from .state import FURTHER, NEVER, Board, Call, Door, Held, Lane
 
@@ -79,6 +80,9 @@
         self.ask_at: float | None = 0.0 if settings.ask_for_list else None
         self.ask_fails = 0
         self.closing_at = float("inf")  # a planned restart: no call may still be out then
+        self.mode = Mode.CALLS
+        self.elsewhere: dict[int, int] = {}  # destination -> calls that this relay's other process has out
+        self.learned: dict[tuple[int, int], Learned] = {}  # of lanes that are not listed here yet
 
     def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
         acts: list[Action] = []
@@ -96,12 +100,21 @@
                     self.timer_at = 0.0
                 case Closing():
                     self.closing_at = event.at_ms
+                case Duty():
+                    self.mode = event.mode
+                case Elsewhere():
+                    self.elsewhere = dict(event.calls)
+                    for dest in list(self.board.queues):
+                        self.board.look(dest)
+                case Learned():
+                    self._learn(event)
         if self.ask_at is not None and now_ms >= self.ask_at:
             acts.append(WatchList())
             self.ask_at = now_ms + self.s.safety.ask_within_ms / 2  # asks again should no answer come
         self._close_late(now_ms, acts)
         self._dispatch(now_ms, acts)
         self._make_room(acts, now_ms)
+        self._hand_over(acts)
         wakes = [at for at in self.board.look_at.values() if at > now_ms] + [end[0] for end in self.ends[:1]]
         wake = min(wakes + ([self.ask_at] if self.ask_at is not None else []), default=None)
         if wake is not None and (self.timer_at <= now_ms or wake < self.timer_at):
@@ -146,6 +159,8 @@
             total = listed or START * self.s.relays
             batch = self.s.kinds[entry.kind].batch if entry.kind < len(self.s.kinds) else 1
             lanes[key] = Lane(*self.usual, total, total / self.s.relays, BURST, now, batch)
+            if (learned := self.learned.pop((dest, key), None)) is not None:
+                lanes[key].take(learned.figures)
         lane, door = lanes[key], self.doors.get(entry.id)
         if listed and listed != lane.total and not lane.reported:
             lane.pace, lane.total = lane.pace * listed / lane.total, listed  # keeps what was learned
@@ -474,7 +489,7 @@
         """Sends what has most worth per slot time while there are slots; reads only queues that are due."""
         picks: dict[int, Choice] = {}
         due = [dest for dest, at in self.board.look_at.items() if at <= now]
-        while self.busy < self.s.slots:
+        while self.mode is Mode.CALLS and self.busy + sum(self.elsewhere.values()) < self.s.slots:
             found = {dest: self._pick(now, dest) for dest in due if dest in self.board.queues}
             picks.update({dest: choice for dest, choice in found.items() if choice is not None})
             if not picks:
@@ -488,7 +503,8 @@
         """The call for this queue with most worth still to win per slot time, if any may be made at all: as
         many messages as fit, since a limit counts calls, and a call holds one slot."""
         best: Choice | None = None
-        look, calls = now + LOOK_MS, sum(lane.calls for lane in self.lanes.get(dest, {}).values())
+        look, calls = now + LOOK_MS, self.elsewhere.get(dest, 0)
+        calls += sum(lane.calls for lane in self.lanes.get(dest, {}).values())
         for lane in self.lanes.get(dest, {}).values():
             out = suspect(lane, now)
             # All routes of a destination share its half of the slots; one that is out has less.
@@ -556,6 +572,32 @@
         lane.credit -= 1 + FURTHER * (len(crew) - 1) if now < lane.cold_since + self.s.safety.cold_ms else 1
         self.busy += 1
 
+    # -- two processes -----------------------------------------------------------------------------------
+
+    def _hand_over(self, acts: list[Action]) -> None:
+        """What is out stays until its outcome: never are tries of one message out from both processes."""
+        if self.mode is Mode.HANDS_OVER:
+            for held in [held for held in self.board.held.values() if held.out is None]:
+                acts.append(HandOver(held.msg.id))
+                self.board.remove(held)
+
+    def _learn(self, event: Learned) -> None:
+        lane = self.lanes.get(event.destination, {}).get(event.endpoint)
+        if lane is None:
+            self.learned[event.destination, event.endpoint] = event
+        else:
+            lane.take(event.figures)
+            self.board.look(event.destination)
+
+    def known(self, dests: set[int] | None = None) -> list[Learned]:
+        """What the other process needs to know of these destinations, or of all."""
+        return [Learned(dest, key, lane.told()) for dest, lanes in self.lanes.items()
+                if dests is None or dest in dests for key, lane in lanes.items()]
+
+    def calls_out(self) -> dict[int, int]:
+        out = {dest: sum(lane.calls for lane in lanes.values()) for dest, lanes in self.lanes.items()}
+        return {dest: calls for dest, calls in out.items() if calls}
+
     # -- what operators see ------------------------------------------------------------------------------
 
     def avoided(self, now: float) -> set[int]:
--- a/linnetstile/interface.py
+++ b/linnetstile/interface.py
@@ -251,7 +251,37 @@
     at_ms: float
 
 
-Event = Union[EndpointList, Message, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, Closing]
+class Mode(Enum):
+    """Which part of the work is this process's, where another of the same relay runs beside it."""
+
+    CALLS = "calls"
+    WAITS = "waits"  # takes messages on, but the other process still makes calls
+    HANDS_OVER = "hands over"  # begins no call: what is not out is the other's
+
+
+@dataclass(frozen=True, slots=True)
+class Duty:
+    mode: Mode
+
+
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """Calls that the other process has out now, by destination: they hold slots of this relay."""
+
+    calls: tuple[tuple[int, int], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """What a process knows of a destination (`endpoint` is -1) or of a route apart; both read one clock."""
+
+    destination: int
+    endpoint: int
+    figures: tuple[tuple[str, float], ...]
+
+
+Event = Union[EndpointList, Message, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, Closing, Duty,
+              Elsewhere, Learned]
 
 
 @dataclass(frozen=True, slots=True)
@@ -293,6 +323,13 @@
     endpoint: int
 
 
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """This process is done with the message: the other one of this relay takes it up."""
+
+    id: int
+
+
 @dataclass(frozen=True, slots=True)
 class WatchList:
     """Ask discovery for the list and its changes from now on."""
@@ -303,4 +340,4 @@
     text: str
 
 
-Action = Union[Send, Refuse, Fail, Cancel, SetTimer, Probe, WatchList, Log]
+Action = Union[Send, Refuse, Fail, Cancel, SetTimer, Probe, HandOver, WatchList, Log]
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -6,6 +6,7 @@
 import logging
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, replace
 
 from .. import interface as api
@@ -22,6 +23,7 @@
 from .management import Call as Ask
 from .management import Door
 from .outcomes import Notices
+from .replacement import Replacement
 from .tasks import Tasks
 
 log = logging.getLogger(__name__)
@@ -34,6 +36,8 @@
 DEST_MS = 60_000.0  # a destination without endpoints is known for so long: past any message's time
 LOOK_S = 0.02
 SERVE_ON_S = 0.5  # after SIGTERM: connections go on coming for up to 0.4 s
+PART_S = 2.3  # after SIGTERM, where another process serves: clients move there between two requests
+NEWS_S = 1.5  # a process that comes beside another hears of changes first, but not for longer than this
 CALLS_END_S = 3.0  # after SIGTERM: no call is out later
 GONE_S = 3.4  # after SIGTERM: whatever is still undone is left to the journal
 
@@ -61,21 +65,24 @@
         self.relay = Relay(config.settings, config.seed)
         self.classes = {cls.name: n for n, cls in enumerate(config.settings.classes)}
         self.tenants = {tenant.name: n for n, tenant in enumerate(config.settings.tenants)}
+        self.ingress = Ingress(self.take, self.withdraw, 1, config.sockets // 12)
+        self.ingress.bind(*config.listen)  # before the journal: nothing is touched if another has the address
         self.journal = Journal(config.state, config.disk_bytes)
         self.directory = Directory.of(config.settings, config.zones)
         self.dests: dict[int, float] = {}  # each destination listed of late, and until when it is known
-        idle, ending = max(1, config.sockets // 8), max(1, config.sockets // 16)
-        self.egress = Egress(config.settings.idle_ms, config.settings.connect_timeout_ms, idle, ending,
+        self.egress = Egress(config.settings.idle_ms, config.settings.connect_timeout_ms, 1, 1,
                              config.settings.report_fields, self._written)
         self.figures = Figures(self.classes)
         self.draining = False  # clients are sent away until a resume
         self.stopping = False
         self.door: Door | None = None
         self.loop: asyncio.AbstractEventLoop | None = None
-        # Clients get what calls cannot need: so a flood of connections leaves every call its descriptor.
-        clients = config.sockets - OWN_SOCKETS - DOOR_SOCKETS - config.settings.slots - idle - ending
-        self.ingress = Ingress(self.take, self.withdraw, max(1, clients), config.sockets // 12)
-        self.watch = Watch(Agent(config.discovery), self.directory, self.listed)
+        self.replacement = Replacement(self.journal, self.relay, self.directory, self._turn_now,
+                                       self._take_up, self._withdrawn)
+        self.linked = api.Mode.CALLS
+        self._share()
+        self.news = asyncio.Event()  # discovery has told something
+        self.watch = Watch(Agent(config.discovery), self.directory, self.told_by_discovery)
         self.notices = Notices(Agent(config.discovery), self.noticed)
         self.tasks = Tasks()
         self.talks: list[asyncio.Task[None]] = []  # with the agent: the watch and the notices
@@ -112,13 +119,19 @@
             except ValueError as error:
                 log.warning("the known list of endpoints is passed over: %s", error)
         self._resume()
+        self.replacement.follow()
         self._step()
         self._talk()
         self.tasks.start(self._sweep())
         self.tasks.start(self._look_at_pool())
+        self.tasks.start(self._follow())
         self.tasks.start(self.ingress.watch())
-        await self.ingress.listen(*self.config.listen)
-        self.ready = True
+        if self.replacement.pair:  # clients are served meanwhile
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.news.wait(), NEWS_S)
+        self.ingress.listen()
+        self.ready = self.replacement.serving = True
+        self.replacement.follow()
 
     def _talk(self) -> None:
         self.talks = [self.tasks.start(self.watch.run()), self.tasks.start(self.notices.run())]
@@ -142,10 +155,18 @@
         """A planned restart: what cannot end in time stays in the journal."""
         loop = asyncio.get_running_loop()
         begun, self.stopping = loop.time(), True
+        self.replacement.stopping = True
         self._feed(api.Closing((begun + CALLS_END_S) * 1000))
-        await asyncio.sleep(SERVE_ON_S)
+        self.replacement.follow()
+        if self.replacement.heir:
+            self.ingress.leave()
+            self.ingress.send_away()
+            while not self.ingress.quit and self.replacement.heir and loop.time() < begun + PART_S:
+                await asyncio.sleep(LOOK_S)
+        else:
+            await asyncio.sleep(SERVE_ON_S)
         self.ingress.stop()
-        while (self.held or self.ingress.connections) and loop.time() < begun + CALLS_END_S + 0.1:
+        while (self.held or not self.ingress.quit) and loop.time() < begun + CALLS_END_S + 0.1:
             await asyncio.sleep(LOOK_S)
         while self.notices.waiting and loop.time() < begun + GONE_S:
             await asyncio.sleep(LOOK_S)
@@ -186,7 +207,7 @@
     def _send_away(self) -> None:
         if self.draining:
             self.ingress.send_away()
-        else:
+        elif not self.stopping:
             self.ingress.welcome()
 
     async def _look_at_pool(self) -> None:
@@ -207,20 +228,68 @@
 
     def _resume(self) -> None:
         """Takes up what an earlier process left: it owes each message its end."""
-        now = unix_ms()
         for entry in list(self.journal.entries.values()):
-            if entry.owes_notice:
-                self.notices.add(entry.id, entry.end, entry.after_ms)
-            elif not entry.end and entry.class_ not in self.classes:
-                self._end(entry, "failed")  # the settings no longer know its class
-            elif not entry.end:
-                risk = entry.risk
-                self.dests[entry.dest] = self.now() + DEST_MS
-                self._hold(entry, age_ms=max(0.0, now - entry.since), tries=entry.tries,
-                           risk_age_ms=None if risk is None else max(0.0, now - risk.at),
-                           risk=None if risk is None else api.Endpoint(
-                               self.directory.number(risk.endpoint), entry.dest, api.Listing.READY,
-                               zone=risk.zone))
+            if not entry.given:
+                self._take_up(entry)
+
+    def _take_up(self, entry: Entry) -> None:
+        now = unix_ms()
+        if entry.owes_notice:
+            self.notices.add(entry.id, entry.end, entry.after_ms)
+        elif not entry.end and entry.class_ not in self.classes:
+            self._end(entry, "failed")  # the settings no longer know its class
+        elif not entry.end:
+            risk = entry.risk
+            self.dests[entry.dest] = self.now() + DEST_MS
+            self._hold(entry, age_ms=max(0.0, now - entry.since), tries=entry.tries,
+                       risk_age_ms=None if risk is None else max(0.0, now - risk.at),
+                       risk=None if risk is None else api.Endpoint(
+                           self.directory.number(risk.endpoint), entry.dest, api.Listing.READY,
+                           zone=risk.zone))
+
+    # -- a second process --------------------------------------------------------------------------------
+
+    async def _follow(self) -> None:
+        while True:
+            await asyncio.sleep(self.replacement.look_s)
+            try:
+                self.replacement.follow()
+                self._share()
+            except Exception:
+                log.exception("the other process's journal could not be followed")
+
+    def _share(self) -> None:
+        """Two processes share the descriptors. Clients get what calls cannot need: so a flood of connections
+        leaves every call its descriptor."""
+        config, both = self.config, 1 + self.replacement.pair
+        idle, ending = max(1, config.sockets // 8 // both), max(1, config.sockets // 16 // both)
+        own = (OWN_SOCKETS + DOOR_SOCKETS) * both
+        clients = (config.sockets - own - config.settings.slots) // both - idle - ending
+        self.egress.most_idle, self.egress.most_ending = idle, ending
+        if self.replacement.mode is not self.linked:  # the other's connections are to take the place of ours
+            self.linked = self.replacement.mode
+            self._keep_links()
+        self.ingress.allow(max(1, clients))
+
+    def _turn_now(self, events: list[api.Event]) -> None:
+        self.events += events
+        self._step()
+
+    def _give(self, number: int) -> None:
+        """The journal keeps its body until the other process has written it down."""
+        held = self.held.pop(number, None)
+        self.figures.gauges["active"] = len(self.held)
+        if held is not None:
+            self.numbers.pop(held.entry.id, None)
+            self._journal(lambda: self.journal.give(held.entry))
+
+    def _withdrawn(self, ident: str) -> None:
+        """Its client gave it up at the other process, which had handed it over."""
+        number = self.numbers.get(ident)
+        if number is not None:
+            self._journal(lambda: self.journal.withdrawn(ident))
+            self._let_go(number)
+            self._feed(api.Withdrawn(number))
 
     async def _sweep(self) -> None:
         while True:
@@ -273,6 +342,7 @@
         for action in actions:
             self._act(action)
         self._call_out([action for action in actions if isinstance(action, api.Send)])
+        self.replacement.after_turn(events)
 
     def _call_out(self, sends: list[api.Send]) -> None:
         """A turn's sends to one endpoint share calls, up to its kind's batch: the module counts on it."""
@@ -303,6 +373,8 @@
                 held_out = self.held.get(ident)
                 if held_out is not None and held_out.call is not None:
                     held_out.call.cancel()
+            case api.HandOver(ident):
+                self._give(ident)
             case api.WatchList():
                 pass  # the watch is always on
             case api.Log(text):
@@ -314,12 +386,20 @@
         self.timer = None
         self._feed(api.TimerFired(0))
 
+    def told_by_discovery(self, event: api.EndpointList) -> None:
+        self.news.set()
+        self.listed(event)
+
     def listed(self, event: api.EndpointList) -> None:
         self._know_dests({entry.destination for entry in event.entries})
-        self.egress.keep_only({(known.entry.id, known.address) for known in self.directory.by_number.values()
-                               if known.entry.listing is api.Listing.READY})
+        self._keep_links()
         self._feed(event)
 
+    def _keep_links(self) -> None:
+        known = [] if self.linked is api.Mode.HANDS_OVER else self.directory.by_number.values()
+        self.egress.keep_only({(each.entry.id, each.address) for each in known
+                               if each.entry.listing is api.Listing.READY})
+
     # -- messages ----------------------------------------------------------------------------------------
 
     def take(self, request: Request) -> Reply:
@@ -333,8 +413,7 @@
             entry = self._entry(request, path)
         except Malformed as error:
             return Reply(400, str(error))
-        known = self.journal.entries.get(entry.id)
-        if known is not None:
+        if self.journal.knows(entry.id):
             return Reply(202)  # also while it is under way: it is one message, however often it comes
         if len(self.held) >= self.settings.hold:
             log.info("message %s for %d: turned away, %d are held", entry.id, entry.dest, len(self.held))
@@ -402,12 +481,10 @@
 
     def withdraw(self, ident: str) -> None:
         """Its client never read the answer, and hands it in again under another id."""
-        number = self.numbers.get(ident)
-        if number is not None:
-            held = self.held[number]
-            self._journal(lambda: self.journal.withdrawn(held.entry))
-            self._let_go(number)
-            self._feed(api.Withdrawn(number))
+        if ident in self.numbers:
+            self._withdrawn(ident)
+        elif self.replacement.pair:
+            self._journal(lambda: self.journal.withdrawn(ident))
 
     def _let_go(self, number: int) -> None:
         """No end is owed any more; a call that is out keeps its own reference."""
--- a/linnetstile/net/ingress.py
+++ b/linnetstile/net/ingress.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import select
+import socket
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -18,6 +19,7 @@
 BODY_BYTES = 64 * 1024
 HEAD_BYTES = 16 * 1024
 BACKLOG = 512  # connections that the system keeps for us: a flood must not push out those behind it
+ACCEPTS = 32  # connections that are accepted in one go
 SILENT_S = 2.2  # a new connection may say nothing for so long: one on which no request is open is owed 2 s
 FIRST_S = 2.5  # from connecting until its first request is whole; an answer or an end is due within 3 s
 REQUEST_S = 2.0  # a later request takes no longer to come; its client gives up after 0.4 s
@@ -289,12 +291,62 @@
         self.visiting: dict[ClientConnection, None] = {}  # between requests, none of them a message
         self.resting: dict[ClientConnection, None] = {}  # between messages; longest idle first
         self.lingering: dict[ClientConnection, None] = {}  # answered for the last time
-        self.server: asyncio.Server | None = None
+        self.listener: socket.socket | None = None
+        self.port = 0
+        self.arriving: set[asyncio.Task[None]] = set()  # accepted, and not yet admitted
         self.away_by = float("inf")  # no idle connection is kept from then on
 
-    async def listen(self, host: str, port: int) -> None:
+    def bind(self, host: str, port: int) -> None:
+        """OSError if the address is another's; a process of this relay's may share it."""
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            listener.setblocking(False)
+            listener.bind((host, port))
+        except OSError:
+            listener.close()
+            raise
+        self.listener, self.port = listener, int(listener.getsockname()[1])
+
+    def listen(self) -> None:
+        assert self.listener is not None
+        self.listener.listen(BACKLOG)
+        asyncio.get_running_loop().add_reader(self.listener, self._accept)
+
+    def _accept(self, most: int = ACCEPTS) -> None:
+        """Takes what is queued, so many at once: they hold descriptors before it is known who may stay."""
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: ClientConnection(self), host, port, backlog=BACKLOG)
+        for _ in range(most):
+            if self.listener is None:
+                return
+            try:
+                sock, _ = self.listener.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:  # no descriptor is left: the queue keeps those who wait
+                log.error("a connection cannot be accepted: %s", error)
+                loop.remove_reader(self.listener)
+                loop.call_later(SWEEP_S, self._accept_on)
+                return
+            sock.setblocking(False)
+            task = loop.create_task(self._arrive(sock))
+            self.arriving.add(task)
+            task.add_done_callback(self.arriving.discard)
+
+    def _accept_on(self) -> None:
+        if self.listener is not None:
+            asyncio.get_running_loop().add_reader(self.listener, self._accept)
+
+    async def _arrive(self, sock: socket.socket) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: ClientConnection(self), sock)
+        except OSError as error:
+            sock.close()
+            log.warning("a connection ended as it came: %s", error)
 
     async def watch(self) -> None:
         """Ends what takes too long; one look at all costs less than a timer for each."""
@@ -337,6 +389,12 @@
         self.silent[connection] = None
         return True
 
+    def allow(self, most: int) -> None:
+        """Another bound from now on; if it is lower, those that have no request open make way."""
+        self.most = most
+        while len(self.connections) > most and self._make_room():
+            pass
+
     def forget(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
         self._leave(connection)
@@ -380,13 +438,21 @@
         return first if first is not None and first.deadline <= by and first.unheard else None
 
     @property
-    def port(self) -> int:
-        assert self.server is not None
-        return int(self.server.sockets[0].getsockname()[1])
+    def quit(self) -> bool:
+        """Whether all clients have gone."""
+        return not self.connections and not self.arriving
+
+    def leave(self) -> None:
+        """Takes no more connections but those that wait already: closing would turn them back unheard."""
+        if self.listener is not None:
+            asyncio.get_running_loop().remove_reader(self.listener)
+            self._accept(BACKLOG)
+            self.listener.close()
+            self.listener = None
 
     def stop(self) -> None:
-        """Takes no more connections, and ends each as soon as it has no request to answer."""
-        if self.server is not None:
-            self.server.close()
+        """Ends each connection as soon as it has no request to answer, and takes no more."""
+        self.leave()
+        self.away_by = asyncio.get_running_loop().time()  # also for those that are still arriving
         for connection in list(self.connections):
             connection.finish()
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from .interface import Decay, Endpoint, Message, MessageClass, Outcome
 
 NEVER = float("-inf")
+UNKNOWN = -1.0  # stands for a time that is not set, in what one process tells another
 FURTHER = 0.25  # of a call's time that each further message may add: "somewhat more work", taken high
 
 
@@ -104,6 +106,20 @@
         """How many messages a call may hold to take so many times what a call of one takes; one at least."""
         return 1 + max(0, int((times - 1) / max(self.further, 0.01)))
 
+    def told(self) -> tuple[tuple[str, float], ...]:
+        """All that another process needs to go on from here: not what is out, which is each one's own."""
+        return tuple((name, UNKNOWN if (value := getattr(self, name)) is None else float(value))
+                     for name in TOLD)
+
+    def take(self, figures: tuple[tuple[str, float], ...]) -> None:
+        """Goes on from what another process knows; a wait that was told to either holds."""
+        told, wait_until = dict(figures), self.wait_until
+        if max(told.get("last_ok", NEVER), told.get("failed_at", NEVER)) >= max(self.last_ok, self.failed_at):
+            for name in TOLD:
+                if name in told:
+                    setattr(self, name, TOLD[name](told[name]))
+        self.wait_until = max(wait_until, told.get("wait_until", NEVER))
+
     def __str__(self) -> str:
         """For the log: what decides how much goes there."""
         return (f"{self.calls} out, pace {self.pace:.1f} of {self.total:.1f}, credit {self.credit:.1f}, "
@@ -111,6 +127,19 @@
                 f"and {self.further:.2f} a message, x {self.stretch:.0f}, hold {self.hold:.0f}")
 
 
+def when(value: float) -> float | None:
+    return None if value == UNKNOWN else value
+
+
+TOLD: dict[str, Callable[[float], float | bool | None]] = {
+    "mean": float, "dev": float, "total": float, "pace": float, "credit": float, "credit_at": float,
+    "reported": bool, "answers": int, "shared": int, "further": float, "last_ok": float, "stretch": float,
+    "hold": float, "free_at": float, "wait_until": float, "blame": float, "sick": bool, "failed_at": float,
+    "lost": float, "ran_nothing": bool, "bad_since": when, "cold_since": float, "knowers": float,
+    "next_trickle": float,
+}
+
+
 class Board:
     """The messages held: by id, those that wait by destination, and those in order by key."""
 
--- a/linnetstile/wirehost.py
+++ b/linnetstile/wirehost.py
@@ -141,6 +141,8 @@
             code, body = 60, struct.pack("<II", instance, endpoint)
         case api.WatchList():
             code, body = 110, struct.pack("<IB", instance, 1)
+        case api.HandOver(ident):
+            raise WireError(f"message {ident} is handed over, and the wire has no second process")
         case api.Log(text):
             line = text.encode()[:65535]
             code, body = 90, struct.pack("<IH", instance, len(line)) + line
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -332,7 +332,7 @@
             relay_.handle(host.now() + 60_000.0, [])
             relay_._drop(host.now() + 60_000.0, relay_.doors.pop(next(iter(relay_.doors))))
             assert len(relay_.lanes) <= 1
-            assert len(host.tasks.running) == 5  # watch, notices, the two that sweep, the look at the pool
+            assert len(host.tasks.running) == 6  # watch, notices, two that sweep, two that look
     run(work())
 
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -126,6 +126,7 @@
     monkeypatch.setattr(os, "rename", killed)
     with pytest.raises(Killed):
         journal._compact()
+    os.close(journal.file)  # as the kernel does: its lock goes with it
     assert (tmp_path / "journal.new").exists()
     assert set(Journal(tmp_path, DISK).entries) == {"m0", "m1", "m2"}
     assert not (tmp_path / "journal.new").exists()
@@ -166,7 +167,7 @@
             elif step == "told":
                 journal.told([held.id])
             elif step == "drop":
-                journal.withdrawn(held)
+                journal.withdrawn(held.id)
     for held in journal.entries.values():  # a call that was out may have run
         held.risk, held.out = held.risk or held.out, None
     journal.close()
