--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
@@ -15,7 +17,8 @@
 log = logging.getLogger(__name__)
 
 HOLD_MS = 2000  # a watch that the agent lets go silent is begun anew soon after; asking costs nothing
-SILENT_S = 0.5  # past the hold: the agent is on this machine and answers at once
+SILENT_S = 1.2  # past the hold: an overbooked agent lets a call wait for up to 1 s; asking again adds to that
+SPREAD_S, SPREAD_MOST_S = 0.02, 0.5  # of the first calls of a fleet: for each relay in it, and at most
 LISTINGS = {"ready": Listing.READY, "gone": Listing.GONE}  # whatever else gets nothing new
 
 
@@ -101,8 +104,11 @@
 class Watch:
     """Keeps the directory current; what fails keeps the version, so that nothing is missed."""
 
-    def __init__(self, agent: Agent, directory: Directory, told: Callable[[EndpointList], None]) -> None:
+    def __init__(
+        self, agent: Agent, directory: Directory, told: Callable[[EndpointList], None], relays: int = 1
+    ) -> None:
         self.agent, self.directory, self.told = agent, directory, told
+        self.spread_s = min(SPREAD_MOST_S, SPREAD_S * relays)
 
     def move(self, agent: Agent) -> None:
         """Another agent counts its versions anew: what it has is asked for whole."""
@@ -110,6 +116,7 @@
 
     async def run(self) -> None:
         backoff = Backoff(0.05, 0.5)
+        await asyncio.sleep(random.uniform(0.0, self.spread_s))
         while True:
             try:
                 self.told(self.directory.apply(await self._ask()))
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -82,7 +82,8 @@
         self.linked = api.Mode.CALLS
         self._share()
         self.news = asyncio.Event()  # discovery has told something
-        self.watch = Watch(Agent(config.discovery), self.directory, self.told_by_discovery)
+        self.watch = Watch(Agent(config.discovery), self.directory, self.told_by_discovery,
+                           config.settings.relays)
         self.notices = Notices(Agent(config.discovery), self.noticed)
         self.tasks = Tasks()
         self.talks: list[asyncio.Task[None]] = []  # with the agent: the watch and the notices
