Hand over in parts, and count the time until a message's turn

Traced by its time: at 14.3 s the new process took up 600 messages in one go; that held up its loop for 300 ms, and the module, told of them after that, gave them as much more time. Now parts of 40 at each look, one record for 100 that are handed over, and time is counted at the message's turn. Queues are read with less work for each message.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -209,6 +209,8 @@
 
     def _turn(self, held: Held) -> float:
         """When a message may go by the order of its key: the first of its key after the key's rest."""
+        if not held.cls.in_order:
+            return 0.0
         if held.key and self.board.lines[held.key][0] != held.msg.id:
             return float("inf")
         return self.key_rest.get(held.key, 0.0)
@@ -512,19 +514,24 @@
             if out and lane.calls >= quarter or calls >= half and (out or len(self.board.queues) > 1):
                 continue
             room_at, overdraw_at = self._room_at(now, lane, out)
+            if (may := max(overdraw_at, lane.wait_until)) > now:  # nobody's turn: a long queue is not read
+                look = min(look, may)
+                continue
             # Slot time for one delivery, failed calls counted: scarce slots go to destinations that answer.
             cost = lane.mean + lane.blame * lane.lost / (1 - lane.blame)
             barred = (out or lane.blame > TRUSTED) and not lane.ran_nothing
             able: list[tuple[float, Held, bool]] = []  # the last: whether a call may go now for its sake
             for held in self.board.queues[dest].values():
                 # The pace is a guess: overdrawn for a client that won't wait, or a message its key waits for.
-                hurried = held.due < held.since + held.cls.aim_ms or self.board.followed(held)
-                joins_at = max(held.ready, lane.wait_until, self._turn(held))
+                hurried, joins_at = held.due < held.since + held.cls.aim_ms, held.ready
+                if held.cls.in_order:
+                    hurried, joins_at = hurried or self.board.followed(held), max(joins_at, self._turn(held))
                 if barred and held.cls.effect is Effect.UNSAFE:
                     joins_at = max(joins_at, lane.failed_at + FADE_MS)  # an unclear outcome would be final
-                at = max(joins_at, overdraw_at if hurried else room_at)
-                if at > now:
-                    look = min(look, at)
+                room = overdraw_at if hurried else room_at
+                at = room if room > joins_at else joins_at
+                if now < at < look:
+                    look = at
                 if joins_at > now:
                     continue
                 soon = held.worth_at(now + lane.mean, self.s.decay)
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -277,13 +277,23 @@
         self.events += events
         self._step()
 
-    def _give(self, number: int) -> None:
-        """The journal keeps its body until the other process has written it down."""
-        held = self.held.pop(number, None)
+    def _give(self, numbers: list[int]) -> None:
+        """The journal keeps their bodies until the other process has written them down."""
+        entries = [held.entry for number in numbers if (held := self.held.pop(number, None)) is not None]
+        for entry in entries:
+            self.numbers.pop(entry.id, None)
         self.figures.gauges["active"] = len(self.held)
-        if held is not None:
-            self.numbers.pop(held.entry.id, None)
-            self._journal(lambda: self.journal.give(held.entry))
+        self._journal(lambda: self.journal.give(entries))
+
+    def _aged(self, event: api.Event) -> api.Event:
+        """A message has less time left at its turn than when it came: a hand-over brings many at once."""
+        held = self.held.get(event.id) if isinstance(event, api.Message) else None
+        if held is None or not isinstance(event, api.Message):
+            return event
+        since = event.left_ms - (held.entry.due - unix_ms())
+        return replace(event, left_ms=event.left_ms - since,
+                       age_ms=None if event.age_ms is None else event.age_ms + since,
+                       risk_age_ms=None if event.risk_age_ms is None else event.risk_age_ms + since)
 
     def _withdrawn(self, ident: str) -> None:
         """Its client gave it up at the other process, which had handed it over."""
@@ -335,7 +345,7 @@
         self.turn, self.last_turn = None, self.now()
         events, self.events = self.events, []
         try:
-            actions = self.relay.handle(self.last_turn, events)
+            actions = self.relay.handle(self.last_turn, [self._aged(event) for event in events])
         except Exception:
             # A fault in one turn must not stop all later ones.
             log.exception("the module failed on %r", events)
@@ -344,6 +354,7 @@
         for action in actions:
             self._act(action)
         self._call_out([action for action in actions if isinstance(action, api.Send)])
+        self._give([action.id for action in actions if isinstance(action, api.HandOver)])
         self.replacement.after_turn(events)
 
     def _call_out(self, sends: list[api.Send]) -> None:
@@ -375,8 +386,8 @@
                 held_out = self.held.get(ident)
                 if held_out is not None and held_out.call is not None:
                     held_out.call.cancel()
-            case api.HandOver(ident):
-                self._give(ident)
+            case api.HandOver():
+                pass  # see _give
             case api.WatchList():
                 pass  # the watch is always on
             case api.Log(text):
--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -29,6 +29,7 @@
 SMALL = 640  # no record but an accepted message's is longer, nor what they add to its line
 ENDED = 320  # nothing is added to it any more
 SLACK = 64 * BLOCK  # kept free for the records of messages that are held already
+PART = 100  # messages that one record hands over: one write for each would hold up the loop
 ROOMY = 256 * 1024  # a file under this size is left alone
 NAME = re.compile(r"journal(?:-(\d{1,9}))?")
 
@@ -95,6 +96,11 @@
     return replace(entry, risk=entry.risk or entry.out, out=None, given=False)
 
 
+def in_parts(entries: list[Entry]) -> list[list[Entry]]:
+    """So many as one record may name."""
+    return [entries[first : first + PART] for first in range(0, len(entries), PART)]
+
+
 def progress(entry: Entry) -> tuple[bool, bool, int]:
     """Of two copies, the one that got further is the true one: whoever gave it away wrote no more."""
     return bool(entry.end), entry.told, entry.tries
@@ -131,10 +137,10 @@
         self.withdrawn_ids: list[str] = []  # by clients, as far as nobody has asked
 
     def _apply(self, record: dict[str, Any]) -> None:
-        if not self._of_the_process(record):
+        if not self._of_several(record):
             self._of_a_message(record)
 
-    def _of_the_process(self, record: dict[str, Any]) -> bool:
+    def _of_several(self, record: dict[str, Any]) -> bool:
         match record["k"]:
             case "role":
                 self.role = str(record["role"])
@@ -142,6 +148,12 @@
                 self.calls = {str(dest): int(calls) for dest, calls in record["out"].items()}
             case "lane":
                 self.lanes[int(record["dest"]), str(record["ep"])] = list(record["told"])
+            case "give":
+                for ident in record["ids"]:
+                    self.entries[str(ident)].given = True
+            case "handed":
+                for ident in record["ids"]:
+                    self._forget(str(ident))
             case _:
                 return False
         return True
@@ -176,10 +188,6 @@
                 self._put(entry)
             case "told":
                 entry.told = True
-            case "give":
-                entry.given = True
-            case "handed":
-                self._forget(ident)
             case kind:
                 raise ValueError(f"unknown record {kind!r}")
 
@@ -282,6 +290,7 @@
         self.folder = folder
         self.budget = disk_bytes // BLOCK * BLOCK
         self.others: dict[int, Other] = {}
+        self.room_seen = self.budget  # by the latest look: good enough for all but the write itself
         self._open()
         self.size = 0
         self._restore()
@@ -333,6 +342,7 @@
                     self._meet(number, path)
             for other in list(self.others.values()):
                 self._follow(other)
+            self.room_seen = self.room
         except OSError as error:  # no descriptor is left, say: what was read stands, and it is tried again
             log.error("journal: the folder cannot be read: %s", error)
 
@@ -389,10 +399,9 @@
     def settle(self) -> bool:
         """Forgets what the taker has written down, and the files of the dead that hold nothing more; whether
         that was all."""
-        for entry in [e for e in self.entries.values() if e.given]:
-            theirs = [other.entries.get(entry.id) for other in self.living]
-            if any(each is not None and not each.given for each in theirs):
-                self.handed(entry)
+        given = [entry for entry in self.entries.values() if entry.given]
+        for some in in_parts([entry for entry in given if self._is_theirs(entry)]):
+            self._record({"k": "handed", "ids": [entry.id for entry in some]})
         for other in [other for other in self.others.values() if other.dead and not other.left()]:
             other.close(unlink=True)
             del self.others[other.number]
@@ -400,11 +409,13 @@
             self._compact()  # what is handed over leaves room at once, for its taker
         return not self.others and not any(entry.given for entry in self.entries.values())
 
-    def give(self, entry: Entry) -> None:
-        self._record({"k": "give", "id": entry.id})
+    def _is_theirs(self, entry: Entry) -> bool:
+        theirs = [other.entries.get(entry.id) for other in self.living]
+        return any(each is not None and not each.given for each in theirs)
 
-    def handed(self, entry: Entry) -> None:
-        self._record({"k": "handed", "id": entry.id})
+    def give(self, entries: list[Entry]) -> None:
+        for some in in_parts(entries):
+            self._record({"k": "give", "ids": [entry.id for entry in some]})
 
     def says_role(self, role: str) -> None:
         self._record({"k": "role", "role": role})
@@ -507,10 +518,10 @@
     def _fits(self, more: int) -> bool:
         """Room for a message, so that a compaction (old file and new together) stays possible."""
         live = self.live + more + SMALL
-        return 2 * self._blocks(live) + 2 * SLACK <= self.room
+        return 2 * self._blocks(live) + 2 * SLACK <= self.room_seen
 
     def _make_room(self, more: int) -> None:
-        if self._blocks(self.size + more) + self._blocks(self.live + more) > self.room - SLACK:
+        if self._blocks(self.size + more) + self._blocks(self.live + more) > self.room_seen - SLACK:
             self._compact()
 
     def _write(self, line: bytes) -> None:
--- a/linnetstile/net/replacement.py
+++ b/linnetstile/net/replacement.py
@@ -18,6 +18,7 @@
 
 LOOK_S = 0.02  # how often the other's file is looked at: what it was told binds this process within 100 ms
 ALONE_S = 0.05  # how often a second process is looked for
+TAKES = 40  # messages taken up at each look: that takes about half of the time until the next
 HEIRS = ("serve", "yield")  # who may be left the calls by one that stops
 
 
@@ -67,7 +68,8 @@
             log.error("what the other process left has to wait: %s", error)
 
     def _take_up(self, other: Other) -> None:
-        for entry in other.left():
+        """Some at a time: clients and calls go on meanwhile."""
+        for entry in other.left()[:TAKES]:
             mine = self.journal.taken_up(other, entry)
             if mine is not None:
                 self.take_up(mine)
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -45,9 +45,11 @@
         return self.msg.key if self.cls.in_order else 0
 
     def worth_at(self, at: float, decay: Decay) -> float:
+        if at >= self.due:
+            return 0.0
         late = at - self.since - self.cls.aim_ms
-        if late <= 0 or at >= self.due:
-            return self.worth if at < self.due else 0.0
+        if late <= 0:
+            return self.worth
         if decay is Decay.HALVES:
             return self.worth * max(self.cls.late_share, float(0.5 ** (late / self.cls.aim_ms)))
         return self.worth * (1 - (1 - self.cls.late_share) * late / (self.cls.deadline_ms - self.cls.aim_ms))
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -145,7 +145,7 @@
     assert old.knows("b") and not old.knows("c")
     (other,) = new.living
     assert not other.left()
-    old.give(old.entries["a"])
+    old.give([old.entries["a"]])
     new.look()
     assert [each.id for each in other.left()] == ["a"]
     assert new.taken_up(other, other.left()[0]) is not None and not other.left()
@@ -180,7 +180,7 @@
 def test_what_was_given_to_one_that_died_without_taking_it_comes_back(tmp_path: Path) -> None:
     old, new = Journal(tmp_path, DISK), Journal(tmp_path, DISK)
     old.take(entry("a"))
-    old.give(old.entries["a"])
+    old.give([old.entries["a"]])
     old.look()
     assert old.taken_back() == []  # it lives, and may be about to
     os.close(new.file)
@@ -192,7 +192,7 @@
     old, new = Journal(tmp_path, DISK), Journal(tmp_path, DISK)
 
     def pass_on(giver: Journal, taker: Journal) -> None:
-        giver.give(giver.entries["a"])
+        giver.give([giver.entries["a"]])
         taker.look()
         (other,) = taker.living
         other.taken.clear()
@@ -201,7 +201,7 @@
     old.take(entry("a"))
     pass_on(old, new)
     pass_on(new, old)  # neither has yet seen that the other wrote it down
-    old.give(old.entries["a"])
+    old.give([old.entries["a"]])
     for each in (old, new):
         each.look()
         each.settle()
@@ -533,7 +533,7 @@
     old, new = Journal(tmp_path, DISK), Journal(tmp_path, DISK)
     whole = replace(entry("a", bytes(range(256))), key="k", again="1", tries=2, risk=Attempt(1.0, "s", 1))
     old.take(whole)
-    old.give(old.entries["a"])
+    old.give([old.entries["a"]])
     new.look()
     (other,) = new.living
     assert new.taken_up(other, other.left()[0]) == replace(whole, given=False)
@@ -550,11 +550,32 @@
             old.ended(old.entries[ident], "delivered")
     new = Journal(tmp_path, DISK)
     old.look()
-    for each in [each for each in old.entries.values() if not each.end]:
-        old.give(each)
+    old.give([each for each in old.entries.values() if not each.end])
     new.look()
     (other,) = new.living
     assert all(new.taken_up(other, each) for each in other.left())
     for number in range(50):
         new.take(replace(entry(f"n{number}", bytes(250)), key="k" * 32))
     assert used(tmp_path) <= DISK
+
+
+def test_a_message_ends_in_its_time_however_late_its_turn_comes(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards a hand-over of many: the time that taking them up costs is not added to what they have left."""
+    clock = [50_000.0]
+    monkeypatch.setattr("linnetstile.net.host.unix_ms", lambda: clock[0])
+
+    async def work() -> None:
+        async with Pair(tmp_path) as pair:
+            host = pair.old
+            host.turn = asyncio.get_running_loop().call_later(60, lambda: None)  # no turn until then
+            one = replace(entry("m"), since=49_000.0, due=57_000.0)
+            host.journal.take(one)
+            host._take_up(one)
+            clock[0] += 900.0
+            host._step()
+            (held,) = host.relay.board.held.values()
+            assert held.due - host.last_turn == pytest.approx(6100.0)
+            assert host.last_turn - held.since == pytest.approx(1900.0)
+    run(work())
