Spread a fleet's calls to discovery, so that each relay is heard

Each new watch waits 2 s in its queue and gets 503, or gets it after 207 ms while about 25 wait; the relay asks again 50 to 500 ms later. A call that was turned away is still worked off. From the release on, 1,155 calls go to endpoints that are gone.

At fault: SPREAD_S and the pause of 0.05 to 0.5 s in net/discovery.py, and the narrow jitter of Backoff.

--- a/linnetstile/net/agent.py
+++ b/linnetstile/net/agent.py
@@ -43,7 +43,8 @@
 
 
 class Backoff:
-    """Growing, jittered pauses between failed requests, so that a returning agent is not hammered."""
+    """Growing pauses between failed requests, spread so widely that a fleet whose requests all failed at one
+    moment does not come back as one: a returning agent is not hammered."""
 
     def __init__(self, first_s: float, most_s: float) -> None:
         self.first_s, self.most_s, self.fails = first_s, most_s, 0
@@ -51,7 +52,7 @@
     async def pause(self) -> None:
         wait = min(self.most_s, self.first_s * 2.0 ** min(self.fails, 16))
         self.fails += 1
-        await asyncio.sleep(wait * random.uniform(0.7, 1.3))
+        await asyncio.sleep(wait * random.uniform(0.1, 1.9))
 
     def reset(self) -> None:
         self.fails = 0
--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -16,9 +16,13 @@
 
 log = logging.getLogger(__name__)
 
-HOLD_MS = 2000  # a watch that the agent lets go silent is begun anew soon after; asking costs nothing
-SILENT_S = 1.2  # past the hold: an overbooked agent lets a call wait for up to 1 s; asking again adds to that
-SPREAD_S, SPREAD_MOST_S = 0.02, 0.5  # of the first calls of a fleet: for each relay in it, and at most
+HOLD_MS = 2000  # a watch that the agent lets go silent is begun anew soon after; going on with one is cheap
+SILENT_S = 2.5  # past the hold: an overbooked agent lets a call wait for 2 s; asking again adds to that
+# Beginning a watch is work that discovery does for one relay after the other, also for those it kept waiting
+# too long: a fleet's first calls, and those after a failure that all meet, are spread by so much a relay.
+SPREAD_S, SPREAD_MOST_S = 0.12, 5.0
+SOON_S = 2.0  # the most after a change of process or agent: news counts as told within 4 s of either
+FIRST_S, MOST_S = 0.05, 0.5  # pauses of a small fleet after a failed call: they grow from one to the other
 LISTINGS = {"ready": Listing.READY, "gone": Listing.GONE}  # whatever else gets nothing new
 
 
@@ -109,25 +113,35 @@
     ) -> None:
         self.agent, self.directory, self.told = agent, directory, told
         self.spread_s = min(SPREAD_MOST_S, SPREAD_S * relays)
+        self.backoff = Backoff(max(FIRST_S, self.spread_s / 2), max(MOST_S, self.spread_s))
+
+    def hurry(self) -> None:
+        """From here on news counts as told soon, whether it has come or not."""
+        self.spread_s = min(SOON_S, self.spread_s)
 
     def move(self, agent: Agent) -> None:
         """Another agent counts its versions anew: what it has is asked for whole."""
+        self.hurry()
         self.agent, self.directory.version = agent, -1
 
     async def run(self) -> None:
-        backoff = Backoff(0.05, 0.5)
         await asyncio.sleep(random.uniform(0.0, self.spread_s))
         while True:
+            asked = asyncio.get_running_loop().time()
             try:
-                self.told(self.directory.apply(await self._ask()))
-                backoff.reset()  # and at once again: a late call would begin a new watch
+                version, event = self.directory.version, self.directory.apply(await self._ask())
+                self.told(event)
+                if version != self.directory.version:
+                    log.info("discovery: version %d, %d entries", self.directory.version, len(event.entries))
+                self.backoff.reset()  # and at once again: a late call would begin a new watch
             except (AgentError, ValueError) as error:
-                log.warning("discovery: %s", error)
+                log.warning("discovery: %s, after %.0f ms", error,
+                            1000 * (asyncio.get_running_loop().time() - asked))
                 self.agent.close()
-                await backoff.pause()
+                await self.backoff.pause()
             except Exception:
                 log.exception("discovery: a list could not be taken")
-                await backoff.pause()
+                await self.backoff.pause()
 
     async def _ask(self) -> dict[str, Any]:
         known, seconds = self.directory.version >= 0, SILENT_S
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -122,6 +122,8 @@
         self._resume()
         self.replacement.follow()
         self._step()
+        if self.replacement.pair:
+            self.watch.hurry()
         self._talk()
         self.tasks.start(self._sweep())
         self.tasks.start(self._look_at_pool())
