Size calls to a cold destination by the fleet's budget, not by one relay's part of it

Ruled out: slots (1 of 4), late notice of the return, refusals (none). At fault: _most in control.py, which lets a call weigh one relay's fortieth of the cold budget. What a call teaches of its size moves to state.py, unchanged: an estimate, no decision.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -37,6 +37,7 @@
 TRUSTED = 0.25  # blame below which an unsafe message may be risked again
 SHUT_MS = 2500.0  # told waits and refusals without a break longer than any span of a limit mean shut
 MET = 0.5  # part of the calls since an outage began that another relay made: so many may know of it
+MANY = 12.0  # many relays' calls to a cold one spread by chance: each may weigh this part of all their budget
 CROWDED = 0.85  # share of the hold from which the least worth is refused to make room
 
 
@@ -317,7 +318,7 @@
         if event.outcome in call.taught:
             pass  # one call is one piece of evidence, however many messages shared its fate
         elif event.outcome is Outcome.OK:
-            self._answered(now, door, held, self._for_one(door.lane, event.latency_ms, call.size))
+            self._answered(now, door, held, door.lane.for_one(event.latency_ms, call.size))
         elif event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
             self._failed(now, door, held, event)
         if self.s.limit_report and len(event.report) > max(self.s.limit_report):
@@ -348,16 +349,6 @@
         if lane.credit < 1:
             lane.pace = min(lane.total, lane.pace * (1 + (RISE if now > lane.free_at else GROWTH)))
 
-    @staticmethod
-    def _for_one(lane: Lane, took: float, size: int) -> float:
-        """What a call of one would have taken, and what each further message adds: taken too high, it would
-        keep messages with little time left out of calls that they can wait for."""
-        if size > 1:
-            lane.shared += 1
-            seen = min(FURTHER, max(0.0, (took / lane.mean - 1) / (size - 1)))
-            lane.further += max(0.15, 1 / lane.shared) * (seen - lane.further)
-        return took / lane.stretched(size)
-
     def _cold(self, now: float, lane: Lane) -> None:
         """It is back: from here on the cold budget holds, shared by the relays that may know of it."""
         lane.knowers = self._knowers(now, lane)
@@ -460,7 +451,7 @@
         pace allows within the time after which too much of it brings the destination down."""
         if out or now >= lane.cold_since + self.s.safety.cold_ms:
             return 1 if out else lane.batch
-        weight = self._pace(now, lane, out)[0] * self.s.safety.fall_ms / 1000
+        weight = self._pace(now, lane, out)[0] * max(1.0, lane.knowers / MANY) * self.s.safety.fall_ms / 1000
         return min(lane.batch, 1 + int(max(0.0, weight - 1) / FURTHER))
 
     def _crew(self, now: float, lane: Lane, able: list[tuple[float, Held, bool]], most: int) -> Choice | None:
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -104,6 +104,15 @@
         """How many times longer a call of so many messages takes than a call of one."""
         return 1 + self.further * (size - 1)
 
+    def for_one(self, took: float, size: int) -> float:
+        """What a call of one would have taken, and what each further message adds: taken too high, it would
+        keep messages with little time left out of calls that they can wait for."""
+        if size > 1:
+            self.shared += 1
+            seen = min(FURTHER, max(0.0, (took / self.mean - 1) / (size - 1)))
+            self.further += max(0.15, 1 / self.shared) * (seen - self.further)
+        return took / self.stretched(size)
+
     def room_in(self, times: float) -> int:
         """How many messages a call may hold to take so many times what a call of one takes; one at least."""
         return 1 + max(0, int((times - 1) / max(self.further, 0.01)))
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -289,9 +289,9 @@
     assert 10 <= asked < (len(d.sent) - start) / 2
 
 
-def biggest_cold_call(rate: float) -> int:
+def biggest_cold_call(rate: float, relays: int = 2) -> int:
     """How many messages the largest call holds in the first seconds after an outage."""
-    d = batched(hold=500)
+    d = batched(hold=500, relays=relays)
     d.listed((11, 1), rate=rate)
     d.warm_up(1)
     (lane,) = d.relay.lanes[1].values()
@@ -320,6 +320,12 @@
     assert 5 < biggest_cold_call(40.0) <= 20
 
 
+def test_one_of_many_relays_fills_its_rare_calls_to_a_cold_destination() -> None:
+    """40 relays with a fortieth of the budget each sent single messages, and the queue was never served."""
+    assert 5 < biggest_cold_call(60.0, relays=40) <= 20
+    assert biggest_cold_call(10.0, relays=40) == 1  # where one full call weighs much in the whole budget
+
+
 def test_a_reported_limit_is_kept_when_the_list_comes_again() -> None:
     d = Driver(make_settings(limit_report=(0, 1)))
     d.listed((11, 1), rate=10.0)
