Raise a pace by parts of the equal part, so that a fleet's relays draw level

Ruled out: cold calls themselves (no refusal while cold), stale lists (each relay has the version). At fault: _answered and _reported in control.py, which multiply the pace, up to the whole limit for each relay.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -28,7 +28,7 @@
 STRETCH_MAX = 8.0  # time-outs double while calls time out (slow is not down), up to this factor
 BURST_S, BURST = 2.0, 3.0  # calls saved up for a clump: seconds of the pace, and at least so many
 START = 0.5  # calls a second that one of many relays may send unpaced, until one is refused
-RISE, GROWTH = 0.5, 0.1  # pace gained with each success that finds it bound: unrefused of late, or paced
+RISE, GROWTH = 0.5, 0.1  # of the equal part, gained with a success that finds it bound: unrefused, or paced
 CUT = 0.7  # pace kept after a refusal above the limit
 ROUGH = 1.5  # a rough listed rate may be this much too high
 BLAME = 0.3  # weight of one failure: two in a row make an outage
@@ -322,7 +322,7 @@
         elif event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
             self._failed(now, door, held, event)
         if self.s.limit_report and len(event.report) > max(self.s.limit_report):
-            self._reported(door.lane, *(event.report[n] for n in self.s.limit_report))
+            self._reported(now, door.lane, *(event.report[n] for n in self.s.limit_report))
         call.taught.add(event.outcome)
         if event.finished or held.withdrawn:
             self.board.remove(held)
@@ -346,8 +346,15 @@
         if lane.sick and lane.blame < SICK:
             self._cold(now, lane)
         lane.bad_since = None
+        self._raise(now, lane, RISE if now > lane.free_at and not lane.reported else GROWTH)
+
+    def _raise(self, now: float, lane: Lane, gain: float) -> None:
+        """A pace that binds gains parts of the equal part, not of what it is: so the relays of a fleet draw
+        level, and do not each rise to the whole limit. Where the budget of a cold one binds, no further."""
         if lane.credit < 1:
-            lane.pace = min(lane.total, lane.pace * (1 + (RISE if now > lane.free_at else GROWTH)))
+            part = lane.total / self.s.relays
+            cold = now < lane.cold_since + self.s.safety.cold_ms
+            lane.pace = max(lane.pace, min(part if cold else lane.total, lane.pace + gain * part))
 
     def _cold(self, now: float, lane: Lane) -> None:
         """It is back: from here on the cold budget holds, shared by the relays that may know of it."""
@@ -386,13 +393,14 @@
             gap = 1000 / self._pace(lane.wait_until, lane, True)[0]
             lane.next_trickle = lane.wait_until + gap * self.rng.random()
 
-    def _reported(self, lane: Lane, left: float, limit: float) -> None:
+    def _reported(self, now: float, lane: Lane, left: float, limit: float) -> None:
         if limit > 0:
             part, lane.pace, lane.total = limit / self.s.relays, lane.pace * limit / lane.total, limit
             lane.reported = True
-            change = 1 + GROWTH * (4 * left - 2)
-            if change < 1 or lane.credit < 1:
-                lane.pace = min(limit, max(lane.pace * change, part / 3))
+            gain = GROWTH * (4 * left - 2)
+            if gain < 0:
+                lane.pace = max(lane.pace * (1 + gain), part / 3)
+            self._raise(now, lane, gain)
 
     # -- pace, health and return -------------------------------------------------------------------------
 
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -414,6 +414,36 @@
     assert paces[0] < 0.9 * paces[1]
 
 
+def bound_paces(relays: int, pace: float, cold: bool, answers: int = 20) -> float:
+    """The pace of a relay, in equal parts, after answers that each found it bound and a little left."""
+    d = Driver(make_settings(relays=relays, limit_report=(0, 1)))
+    d.listed((11, 1), rate=60.0)
+    (lane,) = d.relay.lanes[1].values()
+    part = 60.0 / relays
+    d.warm_up(1)
+    lane.pace, lane.cold_since = pace * part, d.now if cold else float("-inf")
+    for _ in range(answers):
+        while d.message() not in d.out:
+            d.pass_time(500)
+            if d.out:
+                break
+        lane.credit = min(lane.credit, 0.0)
+        for ident in list(d.out):
+            d.answer(ident, report=(0.6, 60.0))
+    return lane.pace / part
+
+
+def test_the_paces_of_a_fleet_draw_level_instead_of_each_rising_to_the_whole_limit() -> None:
+    """Each of 40 relays rose to 40 parts while nothing was refused, and then all were refused at once."""
+    low, high = bound_paces(40, 0.4, False), bound_paces(40, 3.0, False)
+    assert 1.0 < low < 5.0 and high - low < 3.0 - 0.4 + 0.01 and high < 8.0
+
+
+def test_what_is_left_while_a_destination_is_cold_raises_no_pace_above_the_equal_part() -> None:
+    assert bound_paces(40, 0.4, True, 8) <= 1.0 + 1e-9
+    assert bound_paces(40, 0.4, True, 8) > 0.4
+
+
 def test_a_rare_call_that_fails_is_an_outage_and_a_recent_answer_vouches() -> None:
     """Guards one of many relays: it calls a destination too seldom to see two failures in a row."""
     for idle, wary in ((4000.0, False), (20000.0, True)):
