Save up calls by the equal part, so that a fleet's do not exceed the limit at once

Ruled out: repeats of refused messages (each comes after its own pause, at a pace cut by the refusal). At fault: the burst of 3 and the unpaced half call a second in _pace, control.py, both for each relay.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -26,8 +26,8 @@
 LAST = 3.0  # the last try a message can have waits so many times longer: a late answer still saves it
 OVERDUE = 4.0  # an answer is overdue so many mean deviations above the mean
 STRETCH_MAX = 8.0  # time-outs double while calls time out (slow is not down), up to this factor
-BURST_S, BURST = 2.0, 3.0  # calls saved up for a clump: seconds of the pace, and at least so many
-START = 0.5  # calls a second that one of many relays may send unpaced, until one is refused
+BURST_S, BURST = 2.0, 3.0  # calls saved up for a clump: seconds of the pace, or so many if of the equal part
+START = 0.5  # calls a second that one of many relays may send unpaced, until one is refused or a limit told
 RISE, GROWTH = 0.5, 0.1  # of the equal part, gained with a success that finds it bound: unrefused, or paced
 CUT = 0.7  # pace kept after a refusal above the limit
 ROUGH = 1.5  # a rough listed rate may be this much too high
@@ -420,11 +420,12 @@
         bad = lane.bad_since is not None and now - lane.bad_since > SHUT_MS
         if out or bad and (lane.failed_at > lane.last_ok or lane.hold > HOLD_MS):
             return cold / self._knowers(now, lane), 1.0
-        pace = max(lane.pace, START) if now > lane.free_at else lane.pace  # rare calls fit a limit unpaced
+        unpaced = now > lane.free_at and not lane.reported  # rare calls fit a limit that is not known
+        pace = max(lane.pace, START) if unpaced else lane.pace
         if now < lane.cold_since + safety.cold_ms:
             warmth = (1 - safety.cold_share) * (now - lane.cold_since) / safety.cold_ms
             return min(pace, cold * (1 + warmth / max(safety.cold_share, 0.01)) / lane.knowers), 1.0
-        return pace, max(BURST, pace * BURST_S)
+        return pace, max(1.0, pace * BURST_S, min(BURST, lane.total / self.s.relays * BURST_S))
 
     def _room_at(self, now: float, lane: Lane, out: bool) -> tuple[float, float]:
         """When this lane takes another call, and when it takes one that overdraws its pace."""
