Raise a pace under a told limit only where messages wait for it

Seen on zone+vast: with one call saved up a relay, a clump at a limit of 25 calls a second gets 115 calls in 3 s, 99 of them refused, as 40 saved calls and paces above the equal part make. Ruled out: saved-up calls alone (40 of the 115), repeats (paced as all others). At fault: _raise in control.py took each answer of a relay that calls rarely for one that its pace held back.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -322,7 +322,7 @@
         elif event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
             self._failed(now, door, held, event)
         if self.s.limit_report and len(event.report) > max(self.s.limit_report):
-            self._reported(now, door.lane, *(event.report[n] for n in self.s.limit_report))
+            self._reported(now, door, *(event.report[n] for n in self.s.limit_report))
         call.taught.add(event.outcome)
         if event.finished or held.withdrawn:
             self.board.remove(held)
@@ -346,13 +346,14 @@
         if lane.sick and lane.blame < SICK:
             self._cold(now, lane)
         lane.bad_since = None
-        self._raise(now, lane, RISE if now > lane.free_at and not lane.reported else GROWTH)
-
-    def _raise(self, now: float, lane: Lane, gain: float) -> None:
-        """A pace that binds gains parts of the equal part, not of what it is: so the relays of a fleet draw
-        level, and do not each rise to the whole limit. Where the budget of a cold one binds, no further."""
-        if lane.credit < 1:
-            part = lane.total / self.s.relays
+        self._raise(now, door, RISE if now > lane.free_at and not lane.reported else GROWTH)
+
+    def _raise(self, now: float, door: Door, gain: float) -> None:
+        """A pace that binds gains parts of the equal part, not of what it is: so a fleet's relays draw level,
+        and none rises to the whole limit, nor while a cold one's budget binds. Where the limit is told, it
+        binds only if messages wait: rare calls spend all that is saved up each time."""
+        lane, part = door.lane, door.lane.total / self.s.relays
+        if lane.credit < 1 and (not lane.reported or door.entry.destination in self.board.queues):
             cold = now < lane.cold_since + self.s.safety.cold_ms
             lane.pace = max(lane.pace, min(part if cold else lane.total, lane.pace + gain * part))
 
@@ -393,14 +394,13 @@
             gap = 1000 / self._pace(lane.wait_until, lane, True)[0]
             lane.next_trickle = lane.wait_until + gap * self.rng.random()
 
-    def _reported(self, now: float, lane: Lane, left: float, limit: float) -> None:
+    def _reported(self, now: float, door: Door, left: float, limit: float) -> None:
+        lane, gain = door.lane, GROWTH * (4 * left - 2)
         if limit > 0:
-            part, lane.pace, lane.total = limit / self.s.relays, lane.pace * limit / lane.total, limit
-            lane.reported = True
-            gain = GROWTH * (4 * left - 2)
+            lane.pace, lane.total, lane.reported = lane.pace * limit / lane.total, limit, True
             if gain < 0:
-                lane.pace = max(lane.pace * (1 + gain), part / 3)
-            self._raise(now, lane, gain)
+                lane.pace = max(lane.pace * (1 + gain), limit / self.s.relays / 3)
+            self._raise(now, door, gain)
 
     # -- pace, health and return -------------------------------------------------------------------------
 
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -439,6 +439,19 @@
     assert 1.0 < low < 5.0 and high - low < 3.0 - 0.4 + 0.01 and high < 8.0
 
 
+def test_a_pace_for_which_nothing_waits_is_not_raised() -> None:
+    """Where one call is saved up, each answer finds it spent: paces rose unused, until a clump came."""
+    d = Driver(make_settings(relays=40, limit_report=(0, 1)))
+    d.listed((11, 1), rate=16.0)
+    (lane,) = d.relay.lanes[1].values()
+    paces = []
+    for _ in range(20):
+        d.answer(d.message(), report=(0.9, 16.0))
+        paces.append(lane.pace)
+        d.pass_time(3000, 100)
+    assert max(paces) == paces[0] < 1.0
+
+
 def test_what_is_left_while_a_destination_is_cold_raises_no_pace_above_the_equal_part() -> None:
     assert bound_paces(40, 0.4, True, 8) <= 1.0 + 1e-9
     assert bound_paces(40, 0.4, True, 8) > 0.4
