Raise a pace under a told limit by reports alone

An answer added a tenth of a part, a refusal took three tenths. Ruled out: clumps alone (refusals between them too), stale lists (no failed connect).

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -346,7 +346,7 @@
         if lane.sick and lane.blame < SICK:
             self._cold(now, lane)
         lane.bad_since = None
-        self._raise(now, door, RISE if now > lane.free_at and not lane.reported else GROWTH)
+        self._raise(now, door, (RISE if now > lane.free_at else GROWTH) * (not lane.reported))
 
     def _raise(self, now: float, door: Door, gain: float) -> None:
         """A pace that binds gains parts of the equal part, not of what it is: so a fleet's relays draw level,
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -414,14 +414,14 @@
     assert paces[0] < 0.9 * paces[1]
 
 
-def bound_paces(relays: int, pace: float, cold: bool, answers: int = 20) -> float:
+def bound_paces(relays: int, pace: float, cold: bool, answers: int = 20, left: float = 0.6) -> float:
     """The pace of a relay, in equal parts, after answers that each found it bound and a little left."""
     d = Driver(make_settings(relays=relays, limit_report=(0, 1)))
     d.listed((11, 1), rate=60.0)
     (lane,) = d.relay.lanes[1].values()
     part = 60.0 / relays
     d.warm_up(1)
-    lane.pace, lane.cold_since = pace * part, d.now if cold else float("-inf")
+    lane.pace, lane.cold_since, lane.reported = pace * part, d.now if cold else float("-inf"), True
     for _ in range(answers):
         while d.message() not in d.out:
             d.pass_time(500)
@@ -429,7 +429,7 @@
                 break
         lane.credit = min(lane.credit, 0.0)
         for ident in list(d.out):
-            d.answer(ident, report=(0.6, 60.0))
+            d.answer(ident, report=(left, 60.0))
     return lane.pace / part
 
 
@@ -439,6 +439,11 @@
     assert 1.0 < low < 5.0 and high - low < 3.0 - 0.4 + 0.01 and high < 8.0
 
 
+def test_a_success_alone_raises_no_pace_under_a_told_limit() -> None:
+    """Raised by each success and cut by each refusal, a fleet's paces rest where a quarter is refused."""
+    assert 0.99 < bound_paces(40, 1.0, False, left=0.5) < 1.01 < bound_paces(40, 1.0, False, left=0.6)
+
+
 def test_a_pace_for_which_nothing_waits_is_not_raised() -> None:
     """Where one call is saved up, each answer finds it spent: paces rose unused, until a clump came."""
     d = Driver(make_settings(relays=40, limit_report=(0, 1)))
