Begin with the pace that a rough rate may mean at the least

Seen on herd+vast: refusals cluster where most relays of the fleet have just begun: 113 of 203 calls to the smallest destination in the first 6 s, 184 of 274 from 12 to 21 s, after 28 were killed. Ruled out: saved-up calls (one a relay by now), stale lists (no failed connect). At fault: _add in control.py, which begins with a part of the listed rate, half again too high at worst; the cold budget already counts on that.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -76,8 +76,8 @@
         self.key_rest: dict[int, float] = {}  # in-order key -> end of its rest
         self.shares = [(2 * tenant.quota_per_s / settings.relays, 0.0) for tenant in settings.tenants]
         self.usual = USUAL_MS  # latency over all destinations: what one not yet seen is taken for
-        self.busy = 0
-        self.timer_at = 0.0
+        self.busy, self.timer_at = 0, 0.0
+        self.rough = ROUGH if settings.rates is Rates.ROUGH else 1.0
         self.ask_at: float | None = 0.0 if settings.ask_for_list else None
         self.ask_fails = 0
         self.closing_at = float("inf")  # a planned restart: no call may still be out then
@@ -159,7 +159,7 @@
         if key not in lanes:
             total = listed or START * self.s.relays
             batch = self.s.kinds[entry.kind].batch if entry.kind < len(self.s.kinds) else 1
-            lanes[key] = Lane(*self.usual, total, total / self.s.relays, BURST, now, batch)
+            lanes[key] = Lane(*self.usual, total, total / self.s.relays / self.rough, BURST, now, batch)
             if (learned := self.learned.pop((dest, key), None)) is not None:
                 lanes[key].take(learned.figures, True)
         lane, door = lanes[key], self.doors.get(entry.id)
@@ -414,7 +414,7 @@
         """Calls a second and in one go: the learned pace; for a destination that is out or cold, this relay's
         part of what it can take cold, so that all relays that know of the outage stay within the budget."""
         safety = self.s.safety
-        total = lane.total / (ROUGH if self.s.rates is Rates.ROUGH and not lane.reported else 1.0)
+        total = lane.total / (1.0 if lane.reported else self.rough)
         cold = max(safety.fall_multiple * safety.cold_share, 0.01) * total
         # Failed, or refused again, and no answer for long: shut, full or out, and back at any moment.
         bad = lane.bad_since is not None and now - lane.bad_since > SHUT_MS
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from linnetstile import interface as api
+from linnetstile.control import ROUGH
 
 from .conftest import KEYED, SAFE, UNSAFE, Driver, make_settings
 
@@ -540,6 +541,17 @@
     assert calls_at_once(2, 16.0) >= 3 and calls_at_once(40, 16.0) == 1
 
 
+def test_a_relay_begins_with_the_least_that_a_rough_rate_may_mean() -> None:
+    """In a release most relays of a fleet begin at once: at parts of a rate too high they are refused."""
+    paces = {}
+    for rates in (api.Rates.NOMINAL, api.Rates.ROUGH):
+        d = Driver(make_settings(relays=40, rates=rates))
+        d.listed((11, 1), rate=60.0)
+        (lane,) = d.relay.lanes[1].values()
+        paces[rates] = lane.pace
+    assert paces[api.Rates.NOMINAL] == 60.0 / 40 and paces[api.Rates.ROUGH] == 60.0 / 40 / ROUGH < 1.1
+
+
 def test_rare_calls_are_paced_where_reports_tell_the_limit() -> None:
     """Half a call a second of each relay is unpaced while nothing is known: of 40 it is more than 8."""
     d = Driver(make_settings(relays=40, limit_report=(0, 1)))
