Keep an unanswered try a risk when its relay is killed a second time

One message through all processes of its relay (n51):

Four tries, three outcomes: one was out at the first kill and may have run, so no later try may go outside its zone or window, and "returned" is not allowed.

Cause: Book._apply, record "try". The process after the first kill knows the risk in memory only; its own try follows in the file. Read back after the second kill, that try took the place of the one still out, which was forgotten.

Ruled out: two ids of one key (2,992 keys have two: all handed in again after a refusal); the window's clock (messages killed only once stay inside it); lost records (the number of tries is right).

--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -176,6 +176,8 @@
         entry = self.entries[ident]
         match record["k"]:
             case "try":
+                # One that is still out here died with its process: nothing was written of it after the kill.
+                entry.risk = entry.risk or entry.out
                 entry.tries += 1
                 entry.out = Attempt(float(record["at"]), str(record["ep"]), int(record["zone"]))
             case "out":
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from linnetstile.net.journal import BLOCK, Entry, Journal, JournalError, JournalFull
+from linnetstile.net.journal import BLOCK, Attempt, Entry, Journal, JournalError, JournalFull
 
 DISK = 400_000
 
@@ -144,6 +144,21 @@
     assert set(journal.entries) == {"m1"}
 
 
+def test_a_try_cut_short_by_a_kill_stays_a_risk_over_further_kills(tmp_path: Path) -> None:
+    """Its process wrote no outcome, and the next one's tries follow right behind it in the file."""
+    journal = Journal(tmp_path, DISK)
+    journal.take(entry("m0"))
+    journal.tried(journal.entries["m0"], 1500.0, "s-1", 0)
+    for n in range(2):  # kills: a later process proves of its own try only that this one never ran
+        journal.close()
+        journal = Journal(tmp_path, DISK)
+        journal.tried(journal.entries["m0"], 2500.0 + n, "s-2", 1)
+        journal.outcome(journal.entries["m0"], False)
+    journal.close()
+    kept = Journal(tmp_path, DISK).entries["m0"]
+    assert kept.risk == Attempt(1500.0, "s-1", 0) and kept.out is None and kept.tries == 3
+
+
 @given(st.lists(st.tuples(st.sampled_from(["take", "try", "out", "ran", "end", "told", "drop", "compact"]),
                           st.integers(0, 3)), max_size=40))
 def test_what_is_read_back_is_what_was_written(
