Draw among routes apart, so that none is the first of every relay

Destination 4 has three routes of 88, 82 and 168 calls a second.

All relays begin with the same route, and go on to the next when it refuses. A refused call uses the limit up like any other: route 3 answers nobody for 3 s.

Cause: Relay._pick took the route of the highest worth per slot time; to relays that know nothing yet, or the same, that is one route for all.

Now a route is drawn, the likelier the more it takes and, by the square, the more a slot gains there.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -147,9 +147,8 @@
         if not door.lane.doors and door.lane.bad_since is None:
             door.lane.bad_since = now
         for dest in [d for d in self.lanes if d not in self.board.queues and d != door.entry.destination]:
-            kept = {k: lane for k, lane in self.lanes[dest].items() if lane.doors or lane.out
-                    or now <= max(lane.wait_until, (lane.bad_since or 0.0) + FADE_MS)}
-            self.lanes[dest] = kept
+            self.lanes[dest] = {k: lane for k, lane in self.lanes[dest].items() if lane.doors or lane.out
+                                or now <= max(lane.wait_until, (lane.bad_since or 0.0) + FADE_MS)}
         self.lanes = {dest: lanes for dest, lanes in self.lanes.items() if lanes}
 
     def _add(self, now: float, entry: Endpoint) -> None:
@@ -184,9 +183,8 @@
         # An unmarked first try is new however little time it has left: some clients are just in a hurry.
         old = msg.again or msg.from_dead_relay or not self.s.marks_repeats
         since = now + msg.left_ms - cls.deadline_ms if old else now - (msg.age_ms or 0.0)
-        risk = None if msg.risk_age_ms is None else now - msg.risk_age_ms
         held = Held(msg, cls, since, now + msg.left_ms, cls.worth, now, msg.tries)
-        held.first_risk, held.risk = risk, msg.risk
+        held.risk, held.first_risk = msg.risk, None if msg.risk_age_ms is None else now - msg.risk_age_ms
         if msg.tenant < len(self.shares) and msg.age_ms is None:  # resumed ones would seem a surge
             left, at = self.shares[msg.tenant]
             quota = self.s.tenants[msg.tenant].quota_per_s / self.s.relays
@@ -391,8 +389,8 @@
             lane.next_trickle = lane.next_trickle if lane.sick else now
             lane.sick, lane.blame = True, min(lane.blame, 0.7)
         if shut:  # the first calls after it are spread over what it can take cold
-            gap = 1000 / self._pace(lane.wait_until, lane, True)[0]
-            lane.next_trickle = lane.wait_until + gap * self.rng.random()
+            rate = self._pace(lane.wait_until, lane, True)[0]
+            lane.next_trickle = lane.wait_until + 1000 / rate * self.rng.random()
 
     def _reported(self, now: float, door: Door, left: float, limit: float) -> None:
         lane, gain = door.lane, GROWTH * (4 * left - 2)
@@ -467,8 +465,7 @@
         """The messages of the next call, their worth and their endpoint. All end together, since none may be
         out twice: one that has little time left leads only as many as fit into it, so the call of one with
         more is looked at too. Who waits for nothing but the pace joins, as a limit counts calls."""
-        best: Choice | None = None
-        most, latest = min(most, len(able)), now
+        best, most, latest = None, min(most, len(able)), now
         usual = (lane.mean + OVERDUE * lane.dev) * lane.stretch
         for worth, first, leads in able:
             until = self._give_up(now, first, lane, most) if leads else now
@@ -497,17 +494,16 @@
             if not picks:
                 return
             dest = max(picks, key=lambda d: picks[d][0])
-            _, crew, door = picks.pop(dest)
-            self._send(now, crew, door, acts)
+            self._send(now, *picks.pop(dest)[1:], acts)
             due = [dest]
 
     def _pick(self, now: float, dest: int) -> Choice | None:
         """The call for this queue with most worth still to win per slot time, if any may be made at all: as
         many messages as fit, since a limit counts calls, and a call holds one slot."""
-        best: Choice | None = None
-        look, calls = now + LOOK_MS, self.elsewhere.get(dest, 0)
-        calls += sum(lane.calls for lane in self.lanes.get(dest, {}).values())
-        for lane in self.lanes.get(dest, {}).values():
+        best, first = None, 0.0
+        look, lanes = now + LOOK_MS, self.lanes.get(dest, {}).values()
+        calls = self.elsewhere.get(dest, 0) + sum(lane.calls for lane in lanes)
+        for lane in lanes:
             out = suspect(lane, now)
             # All routes of a destination share its half of the slots; one that is out has less.
             half, quarter = max(1, self.s.slots // 2), max(1, self.s.slots // 4)
@@ -542,8 +538,11 @@
             if choice is not None:
                 # One call tells whether a destination is back: it stands for all that wait there.
                 worth = sum(each[0] for each in able) if out else choice[0]
-                choice = worth / cost, *choice[1:]
-                best = choice if best is None or choice[0] > best[0] else best
+                # Guards a route from being every relay's first: the better and wider one is just likelier.
+                rate = (worth / cost) ** 2 * self._pace(now, lane, out)[0]
+                draw = 0.0 if out else self.rng.expovariate(max(1e-30, rate))
+                if best is None or draw < first:
+                    best, first = (worth / cost, *choice[1:]), draw
             elif able and any(door.joins_at == now for door in lane.doors.values()):
                 look = min(look, now + self.s.tick_ms)
         self.board.look_at[dest] = look if best is None else 0.0
@@ -603,8 +602,7 @@
                 if dests is None or dest in dests for key, lane in lanes.items()]
 
     def calls_out(self) -> dict[int, int]:
-        out = {dest: sum(lane.calls for lane in lanes.values()) for dest, lanes in self.lanes.items()}
-        return {dest: calls for dest, calls in out.items() if calls}
+        return {d: n for d, lanes in self.lanes.items() if (n := sum(lane.calls for lane in lanes.values()))}
 
     # -- what operators see ------------------------------------------------------------------------------
 
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -458,6 +458,22 @@
     assert max(paces) == paces[0] < 1.0
 
 
+APART = (api.DestinationKind("k", routes_apart=True),)
+
+
+def test_no_route_is_the_first_of_every_relay() -> None:
+    """200 relays began with the same one of three: it was overrun while the widest stood idle."""
+    first: list[int] = []
+    for seed in range(200):
+        d = Driver(make_settings(relays=200, kinds=APART), seed=seed)
+        d.feed(api.EndpointList(api.ListKind.CACHED, (
+            api.Endpoint(11, 1, api.Listing.READY, 0, 0, 80.0),
+            api.Endpoint(12, 1, api.Listing.READY, 0, 0, 160.0))))
+        d.message()
+        first.append(d.sent[0][1].endpoint)
+    assert 33 < first.count(11) < 100  # a third of what both take
+
+
 def test_what_is_left_while_a_destination_is_cold_raises_no_pace_above_the_equal_part() -> None:
     assert bound_paces(40, 0.4, True, 8) <= 1.0 + 1e-9
     assert bound_paces(40, 0.4, True, 8) > 0.4
