Keep a call's outcome where its bytes go out, and note a careful try at its last byte

The call's connection was known to `_together` only once `_written` had returned. A time-out, or the end of the process, in the turn in which a full buffer's last byte left found none: "could not connect", which proves no effect, for a call that the endpoint may have whole. The same turn between a 200's first line and the cut gave "timed out" for a delivered message. A 500 whose answer did not end was told at once while its connection stayed open for 1 s: the next try was a second copy.

Checked: LinkLost inside `_written` always means that the last byte stayed here. Each test fails before: outcome connect_failed for timeout, cancelled for ok, one connection left.

--- a/linnetstile/net/egress.py
+++ b/linnetstile/net/egress.py
@@ -35,6 +35,25 @@
     may_write: Callable[[], bool]  # asked right before the first byte, and the last if it is held back
     careful: bool = False  # an unclear outcome would be final
     class_: str = ""  # for the figures
+    note: Callable[[], bool] = lambda: True  # writes the try down, before its last byte may leave
+
+
+@dataclass(slots=True)
+class Trip:
+    """How far one call has got. Kept where the bytes go out: an end in the turn of the last byte or of the
+    answer finds what there is."""
+
+    link: Link | None = None
+    sent: list[Call] = field(default_factory=list)  # those of its messages that may go
+
+    def cut_off(self, cut: Outcome, wait_ms: float = 0.0, on: str = "") -> Answer:
+        """What is known of a call that ends without its whole answer."""
+        link = self.link
+        if link is None or not link.out:
+            return Answer(Outcome.CONNECT_FAILED, wait_ms=wait_ms, on=on)  # no endpoint had all of it
+        if len(self.sent) == 1 and link.code == 200:
+            return Answer(Outcome.OK, over=True, on=on)
+        return Answer(cut, wait_ms=wait_ms, on=on)
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,89 +159,103 @@
 
     async def together(self, calls: list[Call]) -> list[Answer]:
         """Makes one call of what goes to one endpoint until one moment, and tells how each message fared."""
-        sent: list[Call] = []
-        answer, each = await self._together(calls, sent)
+        trip = Trip()
+        answer, each = await self._together(calls, trip)
         unsent = Answer(Outcome.NOT_SENT)
-        return [each.get(call.trace_id, answer) if call in sent or not sent else unsent for call in calls]
+        return [each.get(call.trace_id, answer) if call in trip.sent or not trip.sent else unsent
+                for call in calls]
 
-    async def _together(self, calls: list[Call], sent: list[Call]) -> tuple[Answer, dict[str, Answer]]:
+    async def _together(self, calls: list[Call], trip: Trip) -> tuple[Answer, dict[str, Answer]]:
         """How all fared that were sent, and those that the answer names. Giving up closes the connection,
         which frees the slot at the endpoint."""
-        link: Link | None = None
         call, each = calls[0], dict[str, Answer]()
         key, wait = (call.endpoint, call.address), 0.0
         try:
             async with asyncio.timeout_at(call.give_up_at):
-                link = await self._written(calls, sent, key)
+                link = await self._written(calls, trip, key)
                 if link is None:
                     return Answer(Outcome.NOT_SENT), each
                 if await link.status == 200:
                     # True also if the rest of the answer is spoilt: the message is over. Not so with several:
                     # then only the whole answer tells.
                     answer = Answer(Outcome.OK, over=True)
-                    if len(sent) > 1:
+                    if len(trip.sent) > 1:
                         answer, each = Answer(Outcome.ERROR), answers_of(await link.head, await link.whole)
                 else:
-                    answer = answer_of(await link.head) if len(sent) == 1 else answer_of_all(await link.head)
+                    one = len(trip.sent) == 1
+                    answer = answer_of(await link.head) if one else answer_of_all(await link.head)
                 if link.head.done() and link.head.exception() is None:
                     report = report_of(link.head.result(), self.report_fields)
                     answer = replace(answer, report=report)
                     each = {ident: replace(one, report=report) for ident, one in each.items()}
-                if answer.outcome.proves_no_effect:
-                    # Guards unsafe messages: what looks like a refusal but does not end as one is spoilt,
-                    # and a spoilt answer's request has run.
+                if answer.outcome is not Outcome.OK:
                     wait = answer.wait_ms
-                    async with asyncio.timeout(BODY_S):
-                        await link.whole
-            self._after_body(key, link)
-            link = None
+                    await self._to_its_end(link, answer.outcome.proves_no_effect)
+            if answer.outcome is Outcome.OK or link.whole.done():
+                trip.link = None
+                self._after_body(key, link)
             return answer, each
         except TimeoutError:
-            # Connecting or writing took all the time: the endpoint never had the whole call.
-            return Answer(Outcome.TIMEOUT if link else Outcome.CONNECT_FAILED, wait_ms=wait), {}
+            return trip.cut_off(Outcome.TIMEOUT, wait), {}
+        except asyncio.CancelledError:  # the process ends: what has come is all that there will be
+            return trip.cut_off(Outcome.CANCELLED, wait), {}
         except LinkLost:
-            if link is not None and link.calls > 1:
-                self.broke_at = asyncio.get_running_loop().time()
-            on = f"call {link.calls}, idle {link.rested * 1000:.0f} ms" if link else ""
-            return Answer(Outcome.RESET if link else Outcome.CONNECT_FAILED, wait_ms=wait, on=on), {}
+            link, on = trip.link, ""
+            if link is not None and link.out:
+                if link.calls > 1:
+                    self.broke_at = asyncio.get_running_loop().time()
+                on = f"call {link.calls}, idle {link.rested * 1000:.0f} ms"
+            return trip.cut_off(Outcome.RESET, wait, on), {}
         finally:
-            if link is not None:
-                link.close()
+            if trip.link is not None:
+                trip.link.close()
 
-    async def _written(self, calls: list[Call], sent: list[Call], key: Key) -> Link | None:
-        """A connection with the whole call on it, of the messages that may still go (`sent`); None if it may
-        not go out after all. One that was kept and breaks before the last byte tells nothing of the endpoint:
-        the call goes on another at once."""
+    @staticmethod
+    async def _to_its_end(link: Link, must: bool) -> None:
+        """The message may go out again: until then this call's answer has to have ended, as the endpoint
+        still has the call otherwise. Guards unsafe messages too: what looks like a refusal but does not end
+        as one is spoilt, and a spoilt answer's request has run."""
+        try:
+            async with asyncio.timeout(BODY_S):
+                await link.whole
+        except (TimeoutError, LinkLost):
+            if must:
+                raise
+
+    async def _written(self, calls: list[Call], trip: Trip, key: Key) -> Link | None:
+        """A connection with the whole call on it, of the messages that may still go; None if it may not go
+        out after all. One that was kept and breaks before the last byte tells nothing of the endpoint: the
+        call goes on another at once."""
         for may_be_kept in (True, True, False):
             link = self._pooled(key) if may_be_kept else None
             kept = link is not None
-            link = link or await self._connect(calls[0].address)
+            trip.link = link = link or await self._connect(calls[0].address)
+            sent = [call for call in calls if call.may_write()]
+            hold_s = max((self._hold_s(call, kept) for call in sent), default=0.0)
+            trip.sent = sent = sent if hold_s else [call for call in sent if call.note()]
+            if not sent:
+                trip.link = None
+                self._keep(key, link)
+                return None
             try:
-                sent[:] = [call for call in calls if call.may_write()]
-                if not sent:
-                    self._keep(key, link)
-                    link = None
-                    return None
-                hold_s = max(self._hold_s(call, kept) for call in sent)
                 if len(sent) == 1:
                     await link.send("POST", "/inbox", self._headers(sent[0]), sent[0].body, hold_s)
                 else:
                     await link.send("POST", "/inbox/bulk", self._shared_headers(sent[0]), bulk(sent), hold_s)
                 if hold_s:
-                    if not all(call.may_write() for call in sent):  # the time until the last byte counts too
-                        sent.clear()
+                    # The time until the last byte counts too. The try is written down only now: a process
+                    # that dies before this byte has made no call.
+                    if not all(call.may_write() and call.note() for call in sent):
+                        trip.sent = []
                         return None
                     await link.finish()
                 self.written(sent)
-                whole, link = link, None
-                return whole
+                return link
             except LinkLost:
                 if not kept:
                     raise
                 self.broke_at = asyncio.get_running_loop().time()
-            finally:
-                if link is not None:
-                    link.close()
+                link.close()
         raise LinkLost("no connection stays up")
 
     def _hold_s(self, call: Call, kept: bool) -> float:
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, replace
+from functools import partial
 
 from .. import interface as api
 from ..control import Relay
@@ -546,8 +547,9 @@
             if known is not None:
                 answers = await self.egress.together([Call(
                     endpoint, known.address, held.entry.id, held.entry.key, held.entry.body, until / 1000,
-                    self._gate(number, held.entry, known.name, known.entry.zone),
-                    careful=self._effect(held.entry) is api.Effect.UNSAFE, class_=held.entry.class_)
+                    partial(self._may_write, number, held),
+                    careful=self._effect(held.entry) is api.Effect.UNSAFE, class_=held.entry.class_,
+                    note=self._noted(held.entry, known.name, known.entry.zone))
                     for number, held in group])
         except asyncio.CancelledError:
             answers = [Answer(api.Outcome.CANCELLED)] * len(group)  # by the module, or at the process's end
@@ -562,18 +564,21 @@
     def _effect(self, entry: Entry) -> api.Effect:
         return self.settings.classes[self.classes[entry.class_]].effect
 
-    def _gate(self, number: int, entry: Entry, endpoint: str, zone: int) -> Callable[[], bool]:
-        """Asked before the first byte on each connection, and before the last; one attempt in the journal."""
+    def _may_write(self, number: int, held: Held) -> bool:
+        """Asked before the first byte on each connection, and before the last. A message that its client has
+        taken back is known here before the module hears of it."""
+        return self.held.get(number) is held and self.relay.may_write(self.now(), number)
+
+    def _noted(self, entry: Entry, endpoint: str, zone: int) -> Callable[[], bool]:
+        """One attempt in the journal, on however many connections it is begun."""
         noted = False
 
-        def may_write() -> bool:
+        def note() -> bool:
             nonlocal noted
-            if not self.relay.may_write(self.now(), number):
-                return False
             noted = noted or self._journal(lambda: self.journal.tried(entry, unix_ms(), endpoint, zone))
             return noted
 
-        return may_write
+        return note
 
     def _ended(self, number: int, held: Held, attempt: int, endpoint: int, answer: Answer,
                took: float) -> None:
--- a/linnetstile/net/link.py
+++ b/linnetstile/net/link.py
@@ -55,7 +55,10 @@
         self.idle_since = loop.time()
         self.busy = False
         self.last_byte = b""  # of a request that is written but for it
-        self.status: asyncio.Future[int] = loop.create_future()  # by the first line, whatever comes after it
+        self.out = False  # the request's last byte has left: from then on it may run
+        self.ends = False  # what is being written ends with that byte
+        self.code = 0  # by the first line, whatever comes after it; 0 until then
+        self.status: asyncio.Future[int] = loop.create_future()  # tells of it
         self.head: asyncio.Future[Head] = loop.create_future()
         self.whole: asyncio.Future[bytes] = loop.create_future()
         self.flushed: asyncio.Future[None] | None = None
@@ -94,7 +97,7 @@
         if not self.usable or self.transport is None:
             raise LinkLost("the connection is closed")
         loop = asyncio.get_running_loop()
-        self.busy, self.pieces, self.calls = True, 0, self.calls + 1
+        self.busy, self.out, self.code, self.pieces, self.calls = True, False, 0, 0, self.calls + 1
         self.rested = loop.time() - self.idle_since
         self.status, self.head, self.whole = loop.create_future(), loop.create_future(), loop.create_future()
         self.start.clear()
@@ -105,7 +108,7 @@
         data = b"".join(self.http.send(event) or b"" for event in events)
         if hold_s > 0:
             self.last_byte = data[-1:]
-            await self._write(self.transport, data[:-1])
+            await self._write(self.transport, data[:-1], ends=False)
             await asyncio.wait([self.status], timeout=hold_s)
             if self.status.done():
                 raise LinkLost("the connection broke before the request was whole")
@@ -120,7 +123,8 @@
         if last:
             await self._write(self.transport, last)
 
-    async def _write(self, transport: asyncio.Transport, data: bytes) -> None:
+    async def _write(self, transport: asyncio.Transport, data: bytes, ends: bool = True) -> None:
+        self.ends = ends
         transport.write(data)
         # A first write that fails closes the transport at once, and has not taken the whole request.
         if transport.is_closing():
@@ -128,6 +132,8 @@
         if transport.get_write_buffer_size():
             self.flushed = asyncio.get_running_loop().create_future()
             await self.flushed
+        else:
+            self.out = ends
 
     async def ask(self, method: str, target: str, headers: Headers, body: bytes = b"") -> tuple[Head, bytes]:
         """One request and its whole answer."""
@@ -146,6 +152,7 @@
         pass
 
     def resume_writing(self) -> None:
+        self.out = self.ends  # kept here: whoever waits may be cancelled in this very turn
         if self.flushed is not None and not self.flushed.done():
             self.flushed.set_result(None)
 
@@ -173,7 +180,7 @@
         while line := FIRST_LINE.match(self.start):
             status = int(line[1])
             if status >= 200:
-                self.status.set_result(status)
+                self._says(status)
                 self.start.clear()
                 return
             end = HEAD_END.search(self.start, line.end() - 2)
@@ -181,8 +188,14 @@
                 return
             del self.start[: end.end()]
 
-    def _feed(self, data: bytes) -> None:
+    def _says(self, code: int) -> None:
+        """Kept apart from the future, which ends with whoever waits for it."""
+        self.code = code
         if not self.status.done():
+            self.status.set_result(code)
+
+    def _feed(self, data: bytes) -> None:
+        if not self.code:
             self._read_status(data)
         try:
             self.http.receive_data(data)
@@ -194,8 +207,8 @@
                     return
                 match event:
                     case h11.Response() if not self.head.done():
-                        if not self.status.done():
-                            self.status.set_result(event.status_code)
+                        if not self.code:
+                            self._says(event.status_code)
                         self.head.set_result(Head(event.status_code, named(event.headers)))
                     case h11.Data(data=chunk):
                         self.body += chunk
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,183 @@
+"""Narrow moments, forced: what comes between two lines. Hooks stand at the line; nothing waits for luck."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from linnetstile.interface import Outcome
+from linnetstile.net import egress as egress_module
+from linnetstile.net.egress import Answer, Egress
+from linnetstile.net.host import Host, unix_ms
+from linnetstile.net.journal import Entry, Journal
+from linnetstile.net.link import Link
+
+from .loopback import SETTINGS, Agent, Client, Server, host_of, listing, message, run, until
+from .test_egress import call, egress
+
+BULK = {**SETTINGS, "extra": {**SETTINGS["extra"], "per-call": [20]}}
+
+
+class World:
+    """A relay with one endpoint, from its start to its close."""
+
+    def __init__(self, folder: Path, settings: dict[str, Any] = SETTINGS) -> None:
+        self.state, self.settings = folder / "state", settings
+        self.agent, self.server = Agent(), Server()
+
+    async def __aenter__(self) -> World:
+        self.state.mkdir()
+        await self.agent.start()
+        await self.server.start()
+        self.host = host_of(self.state, self.agent, self.server, settings=self.settings)
+        await self.host.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.host.close()
+
+    def at_kill(self) -> Journal:
+        """What the next process would find, were this one killed now."""
+        copy = self.state.with_name("at-kill")
+        shutil.copytree(self.state, copy)
+        return Journal(copy, 3_000_000)
+
+
+# -- the end of a call's time, and of the process, in the turn of a byte -----------------------------------
+
+
+class Timer:
+    """The call's own time-out, to be let off at will as the loop does it."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        made, real = list[asyncio.Timeout](), asyncio.timeout_at
+
+        def timeout_at(when: float | None) -> asyncio.Timeout:
+            made.append(real(when))
+            return made[-1]
+
+        monkeypatch.setattr("asyncio.timeout_at", timeout_at)
+        self.made = made
+
+    def __call__(self) -> None:
+        self.made[-1]._on_timeout()  # type: ignore[attr-defined]
+
+
+class Ends:
+    """Cancels the call's task, as the end of the process does."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.task: asyncio.Task[Answer] | None = None
+
+    def __call__(self) -> None:
+        assert self.task is not None
+        self.task.cancel()
+
+
+async def made_by(cut: Timer | Ends, calls: Egress, address: tuple[str, int], **more: Any) -> Answer:
+    task = asyncio.create_task(calls.call(call(address, **more)))
+    if isinstance(cut, Ends):
+        cut.task = task
+    return await task
+
+
+def after(monkeypatch: pytest.MonkeyPatch, method: str, then: Callable[[], None]) -> None:
+    real = getattr(Link, method)
+
+    def hook(self: Link, *args: Any) -> None:
+        real(self, *args)
+        then()
+
+    monkeypatch.setattr(Link, method, hook)
+
+
+@pytest.mark.parametrize(("cut", "outcome"), [(Timer, Outcome.TIMEOUT), (Ends, Outcome.CANCELLED)])
+def test_a_cut_in_the_turn_of_the_last_byte_may_have_run(
+    monkeypatch: pytest.MonkeyPatch, cut: type[Timer] | type[Ends], outcome: Outcome
+) -> None:
+    """Taken for one that never left, the message would go out a second time."""
+    async def work() -> None:
+        big = b"x" * (32 << 20)  # more than the sockets between can hold: the last byte waits for the reader
+        cuts = cut(monkeypatch)
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(len(big))
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1 << 20)
+        after(monkeypatch, "resume_writing", cuts)
+        got = await made_by(cuts, egress(), server.sockets[0].getsockname(), body=big)
+        assert got.outcome is outcome
+    run(work())
+
+
+@pytest.mark.parametrize("cut", [Timer, Ends])
+def test_a_cut_in_the_turn_of_a_200_leaves_it_delivered(
+    monkeypatch: pytest.MonkeyPatch, cut: type[Timer] | type[Ends]
+) -> None:
+    async def work() -> None:
+        server, cuts = await Server().start(), cut(monkeypatch)
+        after(monkeypatch, "_says", cuts)
+        assert await made_by(cuts, egress(), server.address) == Answer(Outcome.OK, over=True)
+    run(work())
+
+
+def test_a_cut_before_the_last_byte_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(egress_module, "CAREFUL_HOLD_S", 60.0)
+
+    async def work() -> None:
+        server, cuts = await Server().start(), Ends(monkeypatch)
+        send = Link.send
+
+        async def hook(self: Link, *args: Any) -> None:
+            asyncio.get_running_loop().call_soon(cuts)
+            await send(self, *args)
+
+        monkeypatch.setattr(Link, "send", hook)
+        got = await made_by(cuts, egress(), server.address, careful=True)
+        assert got.outcome is Outcome.CONNECT_FAILED and not server.seen
+    run(work())
+
+
+def test_an_error_whose_answer_never_ends_leaves_no_call_behind(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its message may go out again, and the endpoint holds a call until its answer is written."""
+    monkeypatch.setattr(egress_module, "BODY_S", 0.05)
+
+    async def work() -> None:
+        server, calls = await Server().start(), egress()
+        server.script.append(b"HTTP/1.1 500 X\r\nContent-Length: 9\r\n\r\nx")
+        assert (await calls.call(call(server.address))).outcome is Outcome.ERROR
+        assert not calls.ending and not calls.idle
+        await until(server.left)
+    run(work())
+
+
+def test_a_kill_before_the_last_byte_leaves_a_message_untried(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The call never began, so what must not run twice may still go out."""
+    monkeypatch.setattr(egress_module, "CAREFUL_HOLD_S", 60.0)
+
+    async def work() -> None:
+        async with World(tmp_path) as world:
+            async with Client(world.host.ingress.port) as client:
+                assert await client.ask(message("m", "unsafe")) == 202
+            await until(lambda: any(link.last_byte for link in links))
+            (found,) = world.at_kill().entries.values()
+            assert (found.tries, found.risk) == (0, None) and not world.server.seen
+
+    links: list[Link] = []
+    made = Link.connection_made
+
+    def hook(self: Link, transport: asyncio.BaseTransport) -> None:
+        links.append(self)
+        made(self, transport)
+
+    monkeypatch.setattr(Link, "connection_made", hook)
+    run(work())
