--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -90,6 +90,7 @@
         self.talks: list[asyncio.Task[None]] = []  # with the agent: the watch and the notices
         self.closed = False
         self.held: dict[int, Held] = {}
+        self.leaving: set[str] = set()  # withdrawn while a call was out, which still is
         self.numbers: dict[str, int] = {}
         self.last_number = 0
         self.ready = False
@@ -429,6 +430,8 @@
             entry = self._entry(request, path)
         except Malformed as error:
             return Reply(400, str(error))
+        if entry.id in self.leaving:
+            return Reply(503, "this message was given up, and its call has not ended", retry_s=RETRY_S)
         if self.journal.knows(entry.id):
             return Reply(202)  # also while it is under way: it is one message, however often it comes
         if len(self.held) >= self.settings.hold:
@@ -509,6 +512,8 @@
         if held is not None:
             self.numbers.pop(held.entry.id, None)
             held.entry.body = b""
+            if held.call is not None:
+                self.leaving.add(held.entry.id)
 
     def _over(self, number: int, state: str, after_ms: float = 0.0) -> None:
         held = self.held.get(number)
@@ -583,12 +588,13 @@
     def _ended(self, number: int, held: Held, attempt: int, endpoint: int, answer: Answer,
                took: float) -> None:
         entry, held.call = held.entry, None
+        self.leaving.discard(entry.id)
         told = " ".join(f"{value:.2f}" for value in answer.report)
         log.info("message %s for %d: try %d at %d, %.0f ms after it came: %s after %.0f ms, wait %.0f ms, "
                  "told %s%s",
                  entry.id, entry.dest, attempt, endpoint, unix_ms() - entry.since - took,
                  answer.outcome.value, took, answer.wait_ms, told, answer.on)
-        if entry.id in self.journal.entries:
+        if self.journal.entries.get(entry.id) is entry:
             if answer.over:
                 self._let_go(number)
                 self._end(entry, "delivered" if answer.outcome is api.Outcome.OK else "over")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -49,6 +49,72 @@
         return Journal(copy, 3_000_000)
 
 
+# -- a client that takes its message back ------------------------------------------------------------------
+
+
+def when_its_task_is_made(host: Host, take_back: Callable[[], None]) -> None:
+    after_turn = host.replacement.after_turn
+
+    def hook(events: list[Any]) -> None:
+        after_turn(events)
+        if len([held for held in host.held.values() if held.call is not None]) == 2:
+            take_back()  # the task has not begun
+
+    host.replacement.after_turn = hook  # type: ignore[method-assign]
+
+
+def while_it_connects(host: Host, take_back: Callable[[], None]) -> None:
+    connect = host.egress._connect
+
+    async def hook(address: tuple[str, int]) -> Link:
+        link = await connect(address)
+        take_back()
+        return link
+
+    host.egress._connect = hook  # type: ignore[method-assign]
+
+
+@pytest.mark.parametrize("moment", [when_its_task_is_made, while_it_connects])
+def test_a_message_taken_back_as_its_call_begins_never_goes_out_and_harms_no_other(
+    tmp_path: Path, moment: Callable[[Host, Callable[[], None]], None]
+) -> None:
+    """Its body is gone by then, and the journal has forgotten it."""
+    async def work() -> None:
+        async with World(tmp_path, BULK) as world:
+            host = world.host
+            moment(host, lambda: host.withdraw("back"))
+            async with Client(host.ingress.port) as one, Client(host.ingress.port) as two:
+                host._feed, feed = (lambda event: host.events.append(event)), host._feed  # type: ignore
+                assert await one.ask(message("back")) == await two.ask(message("stays")) == 202
+                host._feed = feed  # type: ignore[method-assign]
+                host._step()  # one turn for both: they share a call
+            seen = await world.server.came.get()
+            assert (seen.target, seen.headers["x-trace-id"], seen.body) == ("/inbox", "stays", b"hello")
+            await until(lambda: not host.held and not host.leaving)
+            assert host.journal.entries["stays"].end == "delivered" and "back" not in host.journal.entries
+            host._step()
+            assert len(world.server.seen) == 1 and not host.relay.board.held
+            assert host.relay.lanes[7][-1].blame == 0.0 and world.agent.notices.empty()
+    run(work())
+
+
+def test_an_id_whose_call_is_still_out_is_not_taken_on_again(tmp_path: Path) -> None:
+    """Two copies of it would be out together."""
+    async def work() -> None:
+        async with World(tmp_path) as world:
+            world.server.hold = asyncio.Event()
+            async with Client(world.host.ingress.port) as client:
+                assert await client.ask(message("m")) == 202
+                await world.server.came.get()
+                world.host.withdraw("m")
+                assert await client.ask(message("m")) == 503 and "retry-after" in client.head
+                world.server.hold.set()
+                await until(lambda: not world.host.leaving)
+                assert await client.ask(message("m")) == 202
+                await until(lambda: len(world.server.seen) == 2)
+    run(work())
+
+
 # -- the end of a call's time, and of the process, in the turn of a byte -----------------------------------
 
 
