Read what has come before a stopping relay closes, and begin no turn while it ends

Seen by reading (host.stop, close, ingress.finish). `finish` took a connection for idle without a look at unread bytes, and closed new ones whose first request was on its way: turned back unheard. A request half read when the process ended got nothing. SIGTERM and SIGHUP are blocked once the relay has stopped, since closing the loop brings their default actions back. An impossible configuration (disk or sockets without bound) ended the start with a traceback.

--- a/linnetstile/__main__.py
+++ b/linnetstile/__main__.py
@@ -26,6 +26,8 @@
     host.tasks.start(follow(host, changed))
     await stopping.wait()
     await host.stop()
+    # Guards the exit code: closing the loop brings the signals' default actions back.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
 
 
 async def follow(host: Host, changed: asyncio.Event) -> None:
@@ -37,6 +39,8 @@
             host.reload(load())
         except ConfigError as error:
             log.error("the new configuration is passed over: %s", error)
+        except Exception:
+            log.exception("the new configuration cannot be taken over")  # and the next one still can
 
 
 def main() -> int:
--- a/linnetstile/net/config.py
+++ b/linnetstile/net/config.py
@@ -69,5 +69,5 @@
         raise ConfigError(f"RELAY_CONFIG: {error}") from error
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from error
-    except (ValueError, TypeError, AttributeError, SettingsError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError, SettingsError) as error:
         raise ConfigError(f"{path}: {error}") from error
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -174,7 +174,8 @@
         self.ingress.stop()
         while (self.held or not self.ingress.quit) and loop.time() < begun + CALLS_END_S + 0.1:
             await asyncio.sleep(LOOK_S)
-        while self.notices.waiting and loop.time() < begun + GONE_S:
+        while (self.notices.waiting or not self.ingress.quit) and loop.time() < begun + GONE_S:
+            self.ingress.hang_up()
             await asyncio.sleep(LOOK_S)
         log.info("%d messages and %d notices are left to the journal", len(self.held),
                  len(self.notices.waiting))
@@ -185,10 +186,11 @@
         if self.door is not None:
             self.door.close()
         self.ingress.stop()
-        await self.tasks.cancel()
         for timer in (self.turn, self.timer):
             if timer is not None:
                 timer.cancel()
+        await self.tasks.cancel()
+        self.ingress.hang_up()
         self.egress.keep_only(set())
         self.watch.agent.close()
         self.notices.agent.close()
@@ -339,7 +341,7 @@
     def _feed(self, event: api.Event) -> None:
         """Events are handed over a tick apart at the least, as the module is used to."""
         self.events.append(event)
-        if self.turn is None:
+        if self.turn is None and not self.closed:  # a turn would begin calls that nobody ends
             wait = max(0.0, self.last_turn + self.settings.tick_ms - self.now()) / 1000
             self.turn = asyncio.get_running_loop().call_later(wait, self._step)
 
--- a/linnetstile/net/ingress.py
+++ b/linnetstile/net/ingress.py
@@ -35,6 +35,7 @@
 # A message whose head says one of these twice has two meanings: ours and that of whoever reads it next.
 ONCE = frozenset(("host", "transfer-encoding", "idempotency-key", "x-addressing", "x-customer",
                   "x-expires-in-ms", "x-qos", "x-second-try", "x-trace-id"))
+RETRY_S = 1.0  # a client that is turned away as the process ends is told to come again so much later
 SENSELESS = frozenset((400, 404, 405))
 
 
@@ -138,11 +139,22 @@
         return self.idle and not polled(self.transport, select.POLLIN)
 
     def finish(self) -> None:
-        """Closes now if no request has begun, else with the answer to that one."""
+        """Closes between requests, else with the answer to the one that has come. A new one gets its time to
+        ask: its first request may be on its way, and would be turned back unheard."""
         self.last = True
-        if self.idle or self.over:
+        if self.over or self.unheard and not self.fresh:
             self._close()
 
+    def hang_up(self) -> None:
+        """The process ends: nothing more is waited for. What has come and is not read yet is read first."""
+        self.last = True
+        if self.over:
+            return  # its answer is on its way
+        if self.unheard:
+            self._close()
+        elif not self.idle:
+            self._end(Reply(503, "this relay ends", retry_s=RETRY_S))
+
     def overdue(self) -> None:
         if self.over:
             self.abort()
@@ -450,6 +462,10 @@
             self.listener.close()
             self.listener = None
 
+    def hang_up(self) -> None:
+        for connection in list(self.connections):
+            connection.hang_up()
+
     def stop(self) -> None:
         """Ends each connection as soon as it has no request to answer, and takes no more."""
         self.leave()
--- a/linnetstile/settings.py
+++ b/linnetstile/settings.py
@@ -71,5 +71,5 @@
         )
     except KeyError as error:
         raise SettingsError(f"settings: {error} is missing or not known") from error
-    except (ValueError, TypeError, AttributeError, IndexError) as error:
+    except (ValueError, TypeError, AttributeError, IndexError, OverflowError) as error:
         raise SettingsError(f"settings: {error}") from error
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -247,3 +247,68 @@
 
     monkeypatch.setattr(Link, "connection_made", hook)
     run(work())
+
+
+# -- the end of the process --------------------------------------------------------------------------------
+
+
+def test_no_turn_falls_into_the_end(tmp_path: Path) -> None:
+    """It would begin calls that nobody ends."""
+    async def work() -> None:
+        settings = {**SETTINGS, "extra": {**SETTINGS["extra"], "call-slots": 1}}
+        async with World(tmp_path, settings) as world:
+            host, closing = world.host, asyncio.Event()
+            world.server.usual = None
+
+            async def lingers() -> None:
+                try:
+                    await asyncio.Event().wait()
+                finally:
+                    closing.set()
+                    await until(lambda: not host.held[1].call)  # the first call's end has been told
+                    while host.turn is not None and not host.turn.cancelled():
+                        await asyncio.sleep(0)
+
+            host.tasks.start(lingers())
+            async with Client(host.ingress.port) as client:
+                assert await client.ask(message("out")) == await client.ask(message("waits")) == 202
+            await world.server.came.get()
+            await host.close()
+            assert closing.is_set() and not any(held.call for held in host.held.values())
+            found = Journal(world.state, 3_000_000).entries
+            assert (found["out"].tries, found["waits"].tries) == (1, 0)
+    run(work())
+
+
+def test_a_request_that_lies_unread_when_the_relay_stops_is_answered(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with World(tmp_path) as world, AsyncExitStack() as stack:
+            ingress = world.host.ingress
+            used, new = [await stack.enter_async_context(Client(ingress.port)) for _ in range(2)]
+            assert await used.ask(message("first")) == 202
+            await until(lambda: len(ingress.connections) == 2)
+            used.writer.write(message("unread"))  # the loop is not left in between
+            ingress.stop()
+            assert await used.status() == 202 and "connection: close" in used.head
+            new.writer.write(message("new"))  # its first request was on its way
+            assert await new.status() == 202 and "connection: close" in new.head
+            await until(lambda: ingress.quit)
+    run(work())
+
+
+def test_what_has_come_when_the_process_ends_is_answered_and_half_of_it_turned_away(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with World(tmp_path) as world:
+            port = world.host.ingress.port
+            async with Client(port) as whole, Client(port) as half, Client(port) as silent:
+                await until(lambda: len(world.host.ingress.connections) == 3)
+                half.writer.write(message("half")[:-1])
+                await until(lambda: any(not each.idle for each in world.host.ingress.connections))
+                world.host.ingress.stop()
+                whole.writer.write(message("whole"))
+                world.host.ingress.hang_up()
+                assert await half.status() == 503 and "retry-after" in half.head
+                assert await whole.status() == 202
+                assert await silent.reader.read() == b""
+            assert "whole" in world.host.journal.entries and "half" not in world.host.journal.entries
+    run(work())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -17,7 +17,7 @@
 
 from linnetstile.net.journal import Journal
 
-from .loopback import Agent, Client, Server, answer, listing, message, raw_config, run, until
+from .loopback import SETTINGS, Agent, Client, Server, answer, listing, message, raw_config, run, until
 
 
 def free_port() -> int:
@@ -38,9 +38,12 @@
     def configure(self, **more: Any) -> None:
         self.config.write_text(json.dumps({**self.raw, **more}))
 
-    async def start(self, **more: str) -> None:
+    async def begin(self, **more: str) -> None:
         env = {**os.environ, "RELAY_CONFIG": str(self.config), **more}
         self.process = await asyncio.create_subprocess_exec(sys.executable, "-m", "linnetstile", env=env)
+
+    async def start(self, **more: str) -> None:
+        await self.begin(**more)
         while True:
             try:
                 async with Client(self.port) as client:
@@ -140,6 +143,32 @@
     run(work())
 
 
+@pytest.mark.parametrize("signals", [
+    (signal.SIGTERM, signal.SIGTERM), (signal.SIGHUP, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP),
+    (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)])
+def test_signals_on_one_anothers_heels_end_it_once_and_with_0(
+    tmp_path: Path, signals: tuple[signal.Signals, ...]
+) -> None:
+    async def work() -> None:
+        _, server, process = await world(tmp_path)
+        await process.start()
+        await process.hand_in(message("m"))
+        for each in signals:
+            process.process.send_signal(each)
+        assert await process.process.wait() == 0
+        assert Journal(process.state, 3_000_000).entries["m"].end == "delivered" and len(server.seen) == 1
+    run(work())
+
+
+def test_sigterm_during_the_start_ends_it_with_0(tmp_path: Path) -> None:
+    async def work() -> None:
+        _, _, process = await world(tmp_path)
+        await process.begin()
+        await until((process.state / "journal").exists)  # made after the signals' handlers, before it serves
+        assert await process.end(signal.SIGTERM) == 0
+    run(work())
+
+
 def test_sighup_moves_the_watch_and_the_notices_to_the_new_agent(tmp_path: Path) -> None:
     """Guards against a process that ends on SIGHUP, and against one that waits on the agent that goes."""
     async def work() -> None:
@@ -194,16 +223,24 @@
     ({"settings": {}}, "settings"),
     ({"settings": None}, "config.json"),
     ({"seed": "xyz"}, "config.json"),
+    ({"limits": {"disk_mb": 1e999}}, "config.json"),
+    ({"limits": {"sockets": 1e999}}, "config.json"),
+    ({"limits": None}, "config.json"),
+    ({"known": 7}, "config.json"),
+    ({"settings": {**SETTINGS, "tick-ms": 0}}, "tick_ms"),
+    ({"settings": {**SETTINGS, "extra": {"call-slots": "8"}}}, "settings"),
+    ({"settings": {**SETTINGS, "zones": 3}}, "config.json"),
+    ([], "config.json"),
     ({"state": ""}, "state is missing"),
     (None, "config.json"),
 ])
 def test_bad_configuration_ends_with_one_line_and_2(
-    tmp_path: Path, change: dict[str, Any] | None, says: str
+    tmp_path: Path, change: dict[str, Any] | list[Any] | None, says: str
 ) -> None:
     path = tmp_path / "config.json"
     if change is not None:
         raw = raw_config(tmp_path, Agent(address=("127.0.0.1", 1)))
-        path.write_text(json.dumps({**raw, **change}))
+        path.write_text(json.dumps({**raw, **change} if isinstance(change, dict) else change))
     env = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
     done = subprocess.run([sys.executable, "-m", "linnetstile"], capture_output=True, text=True, timeout=60,
                           env={**env, "RELAY_CONFIG": str(path)})
