Notice a silent watch in 3 s and begin it anew before what it misses counts as told

Seen by reading (discovery.Watch): a silent watch was noticed 4.5 s after its call (HOLD_MS, SILENT_S) and followed by the pause of a call that was turned away, up to 4.75 s in a fleet of 200. What it misses counts as told 6 s after it fell silent: a drain could be overlooked for 3 s. SILENT_S is what an overbooked agent may let a call wait, but a call that goes on with a watch waits for nothing but news: it gets 1 s past its hold. A new watch begins with a call of 0.1 s, so that a second silence shows as soon. Silence is no refusal: the next call comes within 0.7 s, and 3 + 0.7 + 2 stay under 6 s. Calls that are turned away keep their wide pauses. Where lists are pushed, what the agent has counts as told at once: no spread, and 0.05 s after failures. Both tests fail before (4.5 + 4.75 s; first call spread over 5 s). Ruled out: a list that comes while the watch is moved (the task is cancelled before the version is reset, and a cancelled task applies nothing); indented lists (json); an answer that never ends (the time is that of the whole answer).

--- a/linnetstile/net/agent.py
+++ b/linnetstile/net/agent.py
@@ -15,6 +15,10 @@
     """No answer came in time, or none that can be used."""
 
 
+class Silent(AgentError):
+    """No answer came in time."""
+
+
 class Agent:
     def __init__(self, address: Address) -> None:
         self.address = address
@@ -31,7 +35,7 @@
                 return head.status, answer
         except TimeoutError as error:
             self.close()
-            raise AgentError(f"no answer within {seconds:.1f} s") from error
+            raise Silent(f"no answer within {seconds:.1f} s") from error
         except LinkLost as error:
             self.close()
             raise AgentError(str(error)) from error
--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -11,18 +11,24 @@
 from typing import Any
 
 from ..interface import Endpoint, EndpointList, Listing, ListKind, Settings
-from .agent import Agent, AgentError, Backoff
+from .agent import Agent, AgentError, Backoff, Silent
 from .config import Address, address
 
 log = logging.getLogger(__name__)
 
-HOLD_MS = 2000  # a watch that the agent lets go silent is begun anew soon after; going on with one is cheap
+# What a silent watch misses counts as told 6 s after it fell silent. Until then the silence has to be noticed
+# (HOLD_MS and LATE_S after the call at the latest), a call made (up to AGAIN_S later) and worked off.
+HOLD_MS = 2000  # going on with a watch is cheap
+OPENS_MS = 100  # of the call that begins one: its answer shows soon that the watch lives
 SILENT_S = 2.5  # past the hold: an overbooked agent lets a call wait for 2 s; asking again adds to that
+LATE_S = 1.0  # the same for a call that goes on with a watch: it waits for nothing but news
+AGAIN_S = 0.7  # a fleet whose watches all fell silent does not come back as one
 # Beginning a watch is work that discovery does for one relay after the other, also for those it kept waiting
 # too long: a fleet's first calls, and those after a failure that all meet, are spread by so much a relay.
 SPREAD_S, SPREAD_MOST_S = 0.12, 5.0
 SOON_S = 2.0  # the most after a change of process or agent: news counts as told within 4 s of either
 FIRST_S, MOST_S = 0.05, 0.5  # pauses of a small fleet after a failed call: they grow from one to the other
+PUSHED_S = 0.05  # and where the agent pushes lists: what it has counts as told without being asked for
 LISTINGS = {"ready": Listing.READY, "gone": Listing.GONE}  # whatever else gets nothing new
 
 
@@ -109,11 +115,16 @@
     """Keeps the directory current; what fails keeps the version, so that nothing is missed."""
 
     def __init__(
-        self, agent: Agent, directory: Directory, told: Callable[[EndpointList], None], relays: int = 1
+        self, agent: Agent, directory: Directory, told: Callable[[EndpointList], None], relays: int = 1,
+        pushed: bool = False,
     ) -> None:
         self.agent, self.directory, self.told = agent, directory, told
-        self.spread_s = min(SPREAD_MOST_S, SPREAD_S * relays)
-        self.backoff = Backoff(max(FIRST_S, self.spread_s / 2), max(MOST_S, self.spread_s))
+        self.goes_on = False  # the next call goes on with a watch that has begun
+        if pushed:  # the agent is this relay's own: nobody else is kept waiting
+            self.spread_s, self.backoff = 0.0, Backoff(PUSHED_S, PUSHED_S)
+        else:
+            self.spread_s = min(SPREAD_MOST_S, SPREAD_S * relays)
+            self.backoff = Backoff(max(FIRST_S, self.spread_s / 2), max(MOST_S, self.spread_s))
 
     def hurry(self) -> None:
         """From here on news counts as told soon, whether it has come or not."""
@@ -122,7 +133,7 @@
     def move(self, agent: Agent) -> None:
         """Another agent counts its versions anew: what it has is asked for whole."""
         self.hurry()
-        self.agent, self.directory.version = agent, -1
+        self.agent, self.directory.version, self.goes_on = agent, -1, False
 
     async def run(self) -> None:
         await asyncio.sleep(random.uniform(0.0, self.spread_s))
@@ -134,21 +145,27 @@
                 if version != self.directory.version:
                     log.info("discovery: version %d, %d entries", self.directory.version, len(event.entries))
                 self.backoff.reset()  # and at once again: a late call would begin a new watch
+                self.goes_on = version >= 0
             except (AgentError, ValueError) as error:
                 log.warning("discovery: %s, after %.0f ms", error,
                             1000 * (asyncio.get_running_loop().time() - asked))
                 self.agent.close()
-                await self.backoff.pause()
+                self.goes_on = False
+                if isinstance(error, Silent):  # a watch that has broken, not a call that was turned away
+                    await asyncio.sleep(random.uniform(0.0, min(AGAIN_S, self.spread_s)))
+                else:
+                    await self.backoff.pause()
             except Exception:
                 log.exception("discovery: a list could not be taken")
+                self.goes_on = False
                 await self.backoff.pause()
 
     async def _ask(self) -> dict[str, Any]:
-        known, seconds = self.directory.version >= 0, SILENT_S
-        target = "/v1/servers"
-        if known:
-            target += f"?from={self.directory.version}&hold_ms={HOLD_MS}"
-            seconds += HOLD_MS / 1000
+        target, seconds = "/v1/servers", SILENT_S
+        if self.directory.version >= 0:
+            hold_ms = HOLD_MS if self.goes_on else OPENS_MS
+            target += f"?from={self.directory.version}&hold_ms={hold_ms}"
+            seconds = hold_ms / 1000 + (LATE_S if self.goes_on else SILENT_S)
         status, body = await self.agent.ask("GET", target, b"", seconds)
         raw = json.loads(body) if status == 200 else None
         if not isinstance(raw, dict):
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -84,7 +84,7 @@
         self._share()
         self.news = asyncio.Event()  # discovery has told something
         self.watch = Watch(Agent(config.discovery), self.directory, self.told_by_discovery,
-                           config.settings.relays)
+                           config.settings.relays, not config.settings.ask_for_list)
         self.notices = Notices(Agent(config.discovery), self.noticed)
         self.tasks = Tasks()
         self.talks: list[asyncio.Task[None]] = []  # with the agent: the watch and the notices
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -94,6 +94,70 @@
     run(work())
 
 
+def test_a_watch_that_fell_silent_is_noticed_and_begun_anew_before_what_it_misses_counts_as_told(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Also in a fleet whose watches all fell silent, and however long discovery lets the new call wait. On
+    sockets that say nothing, with the waits as the relay chose them and the clock left out."""
+    asked, slept = list[tuple[str, float]](), list[float]()
+
+    async def ask(self: AgentLink, method: str, target: str, body: bytes, wait: float) -> tuple[int, bytes]:
+        asked.append((target, wait))
+        return await real_ask(self, method, target, body, wait if len(asked) < 4 else 0.01)
+
+    async def sleep(seconds: float) -> None:
+        slept.append(seconds)
+        await real_sleep(0)
+
+    async def work() -> None:
+        agent = Agent()
+        await agent.start()
+        watch = Watch(AgentLink(agent.address), Directory((), ()), lambda event: None, 200)
+        for generation in (1, 2, 3):
+            agent.tell(listing(generation=generation))
+        task = asyncio.create_task(watch.run())
+        await until(lambda: len(asked) == 6)
+        task.cancel()
+
+    real_ask, real_sleep = AgentLink.ask, asyncio.sleep
+    monkeypatch.setattr(AgentLink, "ask", ask)
+    monkeypatch.setattr("asyncio.sleep", sleep)
+    monkeypatch.setattr("random.uniform", lambda low, high: high)
+    run(work())
+    goes_on, begins, again = asked[3:6]
+    pause, second = [each for each in slept if each > 0.005][1:3]  # less the first call's and the test's
+    assert "from=3" in goes_on[0] and begins[0] == again[0] != goes_on[0]
+    assert goes_on[1] > 2.0 and begins[1] > 2.0
+    assert goes_on[1] + pause + 2.0 + 0.1 <= 6.0  # the new call may be kept waiting for 2 s
+    assert begins[1] + second + 2.0 + 0.1 <= 6.0  # and may fall silent as well
+
+
+def test_a_list_that_is_pushed_is_asked_for_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What the agent has counts as told from the first moment, and at its return."""
+    waits = list[float]()
+
+    async def sleep(seconds: float) -> None:
+        waits.append(seconds)
+        await real_sleep(0)
+
+    async def work() -> None:
+        agent = Agent()
+        await agent.start()
+        for _ in range(5):
+            agent.changes.put_nowait(answer(503))
+        watch = Watch(AgentLink(agent.address), Directory((), ()), lambda event: None, 200, pushed=True)
+        task = asyncio.create_task(watch.run())
+        while len(agent.seen) < 6:
+            await asyncio.wait([task], timeout=0.001)
+        task.cancel()
+
+    real_sleep = asyncio.sleep
+    monkeypatch.setattr("asyncio.sleep", sleep)
+    monkeypatch.setattr("random.uniform", lambda low, high: high)
+    run(work())
+    assert len(waits) >= 6 and max(waits) < 0.1  # half of what a drain leaves
+
+
 def test_discovery_is_given_longer_than_it_lets_a_call_wait() -> None:
     """Guards an overbooked discovery against relays that give up and ask again."""
     assert discovery.SILENT_S > 2.0
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -259,7 +259,7 @@
 def test_discovery_keeps_its_version_over_malformed_answers_and_silence(
     state: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(discovery, "HOLD_MS", 100)
+    monkeypatch.setattr(discovery, "OPENS_MS", 100)
     monkeypatch.setattr(discovery, "SILENT_S", 0.1)
 
     async def work() -> None:
