Take back what was given only as far as its dead taker's file does not tell of it

A dead taker's file is taken up 40 messages at a look, but all that had been given came back at the first look, as it was when it was given: what the taker had tried since was forgotten, and went out again. Now what its file tells of comes from there. Sibling: what the taker had ended was remembered in memory only, while the giver's own file went on saying "given": a further kill delivered it a second time. Its end is written down now. Both tests fail before (tries 0 for 1 from the 41st message on; "given" after two kills). Ruled out by reading: a withdrawal between "give" and "take" (the drop is read before anything is taken up, or reaches the taker), a compaction over it (the old file is read to its end first).

--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -377,16 +377,19 @@
         remembered, in case that it comes again."""
         known, mine = self.entries.get(entry.id), resumed(entry)
         new = known is None or known.given
-        if new and mine.end and not mine.owes_notice:
+        if known is None and mine.end and not mine.owes_notice:
             self._put(mine)
-        elif new:
+        elif new:  # also if it has ended and was given away: our own file says that it waits
             self.take(mine)
         other.taken.add(entry.id)
         return mine if new else None
 
     def taken_back(self) -> list[Entry]:
-        """What was given away, and the one that was to take it has ended without."""
-        back = [] if self.living else [resumed(entry) for entry in self.entries.values() if entry.given]
+        """What was given away, and the one that was to take it has ended without. What it had written down
+        comes from its file (`taken_up`), which tells how far it got."""
+        theirs = {entry.id for other in self.others.values() for entry in other.left()}
+        back = [] if self.living else [resumed(entry) for entry in self.entries.values()
+                                       if entry.given and entry.id not in theirs]
         for entry in back:
             self.take(entry)
         return back
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -15,9 +15,12 @@
 import pytest
 
 from linnetstile import interface as api
+from linnetstile.control import Relay
 from linnetstile.net import journal as journal_module
+from linnetstile.net.discovery import Directory
 from linnetstile.net.host import Host
 from linnetstile.net.journal import BLOCK, SLACK, Attempt, Entry, Journal
+from linnetstile.net.replacement import TAKES, Replacement
 
 from .conftest import SAFE, Driver, make_settings
 from .loopback import Agent, Client, Server, answer, host_of, listing, message, run, until
@@ -188,6 +191,51 @@
     assert [each.id for each in old.taken_back()] == ["a"] and not old.entries["a"].given
 
 
+def test_what_a_dead_taker_tried_comes_back_as_tried_however_much_it_was(tmp_path: Path) -> None:
+    """Guards what may have run at the taker: its file is taken up a part at a time, and tells of it."""
+    idents = [f"{number:03}" for number in range(3 * TAKES)]
+    old, new = Journal(tmp_path, DISK), Journal(tmp_path, DISK)
+    for ident in idents:
+        old.take(entry(ident))
+    old.give(list(old.entries.values()))
+    new.look()
+    (other,) = new.living
+    for each in other.left():
+        mine = new.taken_up(other, each)
+        assert mine is not None
+        new.tried(mine, 1500.0, "s-1", 0)
+    os.close(new.file)
+    back = list[Entry]()
+    follower = Replacement(old, Relay(make_settings(), 1), Directory((), ()), lambda events: None,
+                           back.append, lambda ident: None)
+    while len(back) < len(idents):
+        before = len(back)
+        follower.follow()
+        assert len(back) > before
+    assert sorted(each.id for each in back) == idents
+    assert all(each.tries == 1 and each.risk is not None for each in back)
+
+
+def test_what_a_dead_taker_ended_stays_ended_in_the_givers_own_file(tmp_path: Path) -> None:
+    """Guards against a second delivery by the process after next: the taker's file is gone by then."""
+    old, new = Journal(tmp_path, DISK), Journal(tmp_path, DISK)
+    old.take(entry("a", due=9e12))
+    old.give([old.entries["a"]])
+    new.look()
+    (other,) = new.living
+    mine = new.taken_up(other, other.left()[0])
+    assert mine is not None
+    new.ended(mine, "delivered")
+    os.close(new.file)
+    old.look()
+    (other,) = old.others.values()
+    assert old.taken_up(other, other.left()[0]) is not None and old.taken_back() == [] and old.settle()
+    old.close()
+    after = Journal(tmp_path, DISK)
+    assert after.entries["a"].end == "delivered" and not after.entries["a"].given
+    assert after.taken_back() == []
+
+
 def test_a_message_given_to_and_fro_is_never_forgotten_by_both(tmp_path: Path) -> None:
     old, new = Journal(tmp_path, DISK), Journal(tmp_path, DISK)
 
