Try first, and never crowd out, what a restart found taken on and untried

Seen by reading (control._make_room, _pick): what a restart finds is old, so it is worth least. Clients who come back at once fill the hold, and `_make_room` refused the old ones with no call; in its queue each newcomer went first. Of 8 messages found, with 30 newcomers and a hold of 12, all 8 were given up. What is found untried is now "owed" until a call for it has been out: nothing makes room by refusing it, and it goes before all else, at its destination and among destinations. Connections that fail and sends that were not made leave it owed. Paces, told waits, cold budgets and slots bind it as ever. The same holds for what another process leaves or hands over. "taken up" is logged for each. Tests on sockets, alone and beside another process, and of the module fail before.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -39,6 +39,7 @@
 MET = 0.5  # part of the calls since an outage began that another relay made: so many may know of it
 MANY = 12.0  # many relays' calls to a cold one spread by chance: each may weigh this part of all their budget
 CROWDED = 0.85  # share of the hold from which the least worth is refused to make room
+FIRST = 1e9  # above any worth: what a restart found untried goes before all that came since
 
 
 def averaged(mean: float, dev: float, took: float, gain: float) -> tuple[float, float]:
@@ -280,7 +281,7 @@
                 drained = now + 1000 * len(queue) / self._speed(now, dest)
                 for held in queue.values():
                     worth = held.worth_at(drained, self.s.decay), held.worth_at(now, self.s.decay), held
-                    if self._may_refuse(held) and (least is None or worth[:2] < least[:2]):
+                    if self._may_refuse(held) and not held.owed and (least is None or worth[:2] < least[:2]):
                         least = worth
             if least is not None:
                 self._end(now, least[2], acts)
@@ -304,6 +305,7 @@
         self.board.look(held.msg.destination)
         if not event.outcome.proves_no_effect and held.first_risk is None:
             held.first_risk, held.risk = held.out_since, door.entry
+        held.called = held.called or event.outcome not in (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
         if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED) and held.key:
             self.key_rest = {key: at for key, at in self.key_rest.items() if at > now}
             self.key_rest[held.key] = now + self.s.safety.key_rest_ms + self.s.tick_ms
@@ -420,8 +422,7 @@
         bad = lane.bad_since is not None and now - lane.bad_since > SHUT_MS
         if out or bad and (lane.failed_at > lane.last_ok or lane.hold > HOLD_MS):
             return cold / self._knowers(now, lane), 1.0
-        unpaced = now > lane.free_at and not lane.reported  # rare calls fit a limit that is not known
-        pace = max(lane.pace, START) if unpaced else lane.pace
+        pace = max(lane.pace, START * (now > lane.free_at and not lane.reported))  # rare ones fit most limits
         if now < lane.cold_since + safety.cold_ms:
             warmth = (1 - safety.cold_share) * (now - lane.cold_since) / safety.cold_ms
             return min(pace, cold * (1 + warmth / max(safety.cold_share, 0.01)) / lane.knowers), 1.0
@@ -534,7 +535,7 @@
                     continue
                 soon = held.worth_at(now + lane.mean, self.s.decay)
                 later = held.worth_at(now + lane.mean + 1000.0, self.s.decay)
-                able.append((2 * soon - later, held, at <= now))
+                able.append((2 * soon - later + FIRST * held.owed, held, at <= now))
             able.sort(key=lambda each: -each[0])
             choice = self._crew(now, lane, able, self._most(now, lane, out))
             if choice is not None:
@@ -584,15 +585,14 @@
 
     def _hand_over(self, acts: list[Action]) -> None:
         """What is out stays until its outcome: never are tries of one message out from both processes."""
-        if self.mode is Mode.HANDS_OVER:
-            for held in [held for held in self.board.held.values() if held.out is None]:
+        for held in list(self.board.held.values()) if self.mode is Mode.HANDS_OVER else ():
+            if held.out is None:
                 acts.append(HandOver(held.msg.id))
                 self.board.remove(held)
 
     def _learn(self, event: Learned) -> None:
         """Who makes the calls knows better: what still ends at the other are its slowest and failing ones."""
-        lane = self.lanes.get(event.destination, {}).get(event.endpoint)
-        if lane is None:
+        if (lane := self.lanes.get(event.destination, {}).get(event.endpoint)) is None:
             self.learned[event.destination, event.endpoint] = event
         else:
             lane.take(event.figures, self.mode is not Mode.CALLS)
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -248,6 +248,9 @@
             self._end(entry, "failed")  # the settings no longer know its class
         elif not entry.end:
             risk = entry.risk
+            log.info("message %s for %d: taken up %.0f ms after it came, %.0f ms left, %d tries%s", entry.id,
+                     entry.dest, now - entry.since, entry.due - now, entry.tries,
+                     "" if risk is None else ", one unclear")
             self.dests[entry.dest] = self.now() + DEST_MS
             self._hold(entry, age_ms=max(0.0, now - entry.since), tries=entry.tries,
                        risk_age_ms=None if risk is None else max(0.0, now - risk.at),
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -38,6 +38,12 @@
     first_risk: float | None = None  # send of the first attempt that may have run
     risk: Endpoint | None = None
     withdrawn: bool = False
+    called: bool = False  # by this process
+
+    @property
+    def owed(self) -> bool:
+        """Found untried at a restart, and not called for since."""
+        return self.msg.age_ms is not None and not self.msg.tries and not self.called
 
     @property
     def key(self) -> int:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -312,3 +312,51 @@
                 assert await silent.reader.read() == b""
             assert "whole" in world.host.journal.entries and "half" not in world.host.journal.entries
     run(work())
+
+
+# -- what a restart finds ----------------------------------------------------------------------------------
+
+SMALL = {**SETTINGS, "extra": {**SETTINGS["extra"], "call-slots": 2},
+         "limits": {**SETTINGS["limits"], "open-cap": 12}}
+
+
+async def crowd_in(port: int, count: int) -> None:
+    """Clients who come back as soon as they may."""
+    async with Client(port) as client:
+        for number in range(count):
+            assert await client.ask(message(f"new-{number}")) in (202, 503)
+
+
+@pytest.mark.parametrize("beside", [False, True])
+def test_what_a_restart_finds_untried_is_tried_though_clients_crowd_in(tmp_path: Path, beside: bool) -> None:
+    """After SIGKILL, alone or with another process that takes it up."""
+    async def work() -> None:
+        async with AsyncExitStack() as stack:
+            world = World(tmp_path, SMALL)
+            world.state.mkdir()
+            await world.agent.start()
+            await world.server.start()
+            dead = Journal(world.state, 3_000_000)
+            now = unix_ms()
+            found = {f"old-{number}" for number in range(8)}
+            for ident in sorted(found):
+                dead.take(Entry(ident, "safe", "t", 7, None, now - 3000, now + 5000, "", b"kept"))
+            if beside:  # it serves already when the other one dies
+                dead.says_role("serve")
+                world.agent.tell(listing(world.server))
+            else:
+                dead.close()
+            world.server.hold = asyncio.Event()
+            host = host_of(world.state, world.agent, world.server, settings=SMALL)
+            stack.push_async_callback(host.close)
+            await host.start()
+            if beside:
+                dead.close()
+                await until(lambda: len(host.held) == 8)
+            await crowd_in(host.ingress.port, 30)
+            world.server.hold.set()
+            await until(lambda: all(host.journal.entries[ident].end for ident in found))
+            tried = {seen.headers["x-trace-id"] for seen in world.server.seen}
+            assert found <= tried
+            assert all(host.journal.entries[ident].end == "delivered" for ident in found)
+    run(work())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -175,3 +175,49 @@
         d.pass_time(3000)
         later = [at for at, a in d.other if isinstance(a, api.WatchList)]
         assert len(later) > asked and later[asked] > before
+
+
+def resumed(d: Driver, first: int, count: int, left: float = 6000.0) -> list[int]:
+    """What a restart found untried."""
+    idents = list(range(first, first + count))
+    d.feed(*(api.Message(ident, 1, SAFE, left, age_ms=10000.0 - left) for ident in idents))
+    return idents
+
+
+def test_what_a_restart_found_untried_makes_room_for_nobody() -> None:
+    """Guards what was taken on first: it is worth least, and clients who come back crowd in at once."""
+    d = Driver(make_settings(hold=20, slots=2))
+    d.listed((11, 1), rate=2.0)
+    found = resumed(d, 1, 12)
+    for ident in range(101, 130):
+        d.feed(api.Message(ident, 1, SAFE, 10000.0))
+    assert not set(found) & set(d.ended) and len(d.ended) >= 20
+
+
+def test_what_a_restart_found_untried_goes_first() -> None:
+    """Also where what has come since is worth more, and at other destinations."""
+    d = Driver(make_settings(slots=1))
+    d.listed((11, 1), (22, 2))
+    blocker = d.message(SAFE, 2)
+    found = resumed(d, 201, 2, left=3000.0)
+    for ident in range(301, 304):
+        d.feed(api.Message(ident, 1, SAFE, 10000.0), api.Message(ident + 100, 2, SAFE, 10000.0))
+    order = list[int]()
+    d.answer(blocker)
+    while len(order) < 4:
+        d.pass_time(5)
+        for ident in list(d.out):
+            order.append(ident)
+            d.answer(ident)
+    assert set(order[:2]) == set(found)
+
+
+@pytest.mark.parametrize(("outcome", "first"), [
+    (api.Outcome.CONNECT_FAILED, True), (api.Outcome.NOT_SENT, True), (api.Outcome.FULL, False)])
+def test_it_has_had_its_try_once_an_endpoint_had_it(outcome: api.Outcome, first: bool) -> None:
+    d = Driver()
+    d.listed((11, 1))
+    (ident,) = resumed(d, 1, 1)
+    assert d.relay.board.held[ident].owed
+    d.answer(ident, outcome)
+    assert d.relay.board.held[ident].owed == first
