Keep no connection where new ones are turned away, as few relays then have them all

Of 200 relays 23 to 48 get answers from nine of ten destinations, always the same ones; the others are refused each time, with no wait told. At fault: egress._keep kept each connection, whatever the endpoint has room for. The module now tells with each send whether to keep the connection (`Send.keep`): not where half of the kind's new connections are turned away. Refusals on kept ones say that it is a limit instead. The tests fail before.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -38,6 +38,7 @@
 SHUT_MS = 2500.0  # told waits and refusals without a break longer than any span of a limit mean shut
 MET = 0.5  # part of the calls since an outage began that another relay made: so many may know of it
 MANY = 12.0  # many relays' calls to a cold one spread by chance: each may weigh this part of all their budget
+SCARCE = 0.5  # share of new connections turned away above which none is kept: few relays would have all
 CROWDED = 0.85  # share of the hold from which the least worth is refused to make room
 FIRST = 1e9  # above any worth: what a restart found untried goes before all that came since
 
@@ -56,7 +57,7 @@
     """Out, or each endpoint owes an answer that is overdue, and none came since: hung, gone or slow."""
     if lane.sick or not lane.out:
         return lane.sick
-    overdue = now - (lane.mean + OVERDUE * lane.dev) * lane.stretch
+    overdue = now - lane.takes(OVERDUE)
     late = [held.out for held in lane.out.values() if held.out and lane.last_ok <= held.out_since < overdue]
     return bool(late) and {door.entry.id for door in late}.issuperset(lane.doors)
 
@@ -203,9 +204,8 @@
 
     def _may_refuse(self, held: Held) -> bool:
         """A refusal promises that coming again is harmless: after an unclear attempt, only by effect."""
-        if held.first_risk is None or held.cls.effect is Effect.SAFE:
-            return True
-        return held.cls.effect is Effect.KEYED and held.cls.key_scope is Scope.ALL
+        keyed = held.cls.effect is Effect.KEYED and held.cls.key_scope is Scope.ALL
+        return held.first_risk is None or held.cls.effect is Effect.SAFE or keyed
 
     def _turn(self, held: Held) -> float:
         """When a message may go by the order of its key: the first of its key after the key's rest."""
@@ -220,9 +220,8 @@
         lane, entry = door.lane, door.entry
         if held.out is not None or entry.id not in self.doors or now >= self._until(held):
             return False
-        if now < max(lane.wait_until, held.ready, self._turn(held)) or now + lane.mean / 4 >= held.due:
-            return False
-        if now + (lane.mean + OVERDUE * lane.dev) * lane.stretch > self.closing_at:
+        late = now + lane.mean / 4 >= held.due or now + lane.takes(OVERDUE) > self.closing_at
+        if late or now < max(lane.wait_until, held.ready, self._turn(held)):
             return False
         if held.risk is None or held.cls.effect is not Effect.KEYED or held.cls.key_scope is Scope.ALL:
             return True
@@ -323,6 +322,7 @@
             self._failed(now, door, held, event)
         if self.s.limit_report and len(event.report) > max(self.s.limit_report):
             self._reported(now, door, *(event.report[n] for n in self.s.limit_report))
+        self.board.kinds[door.entry.kind].seen(event.outcome, event.wait_ms, event.kept)
         call.taught.add(event.outcome)
         if event.finished or held.withdrawn:
             self.board.remove(held)
@@ -469,13 +469,12 @@
         out twice: one that has little time left leads only as many as fit into it, so the call of one with
         more is looked at too. Who waits for nothing but the pace joins, as a limit counts calls."""
         best, most, latest = None, min(most, len(able)), now
-        usual = (lane.mean + OVERDUE * lane.dev) * lane.stretch
         for worth, first, leads in able:
             until = self._give_up(now, first, lane, most) if leads else now
             if until <= latest or (door := self._door(now, first, lane)) is None:
                 continue
-            latest, fit = until, min(most, lane.room_in((until - now) / usual))
-            crew, size, long = [first], first.msg.size, now + usual * lane.stretched(fit)
+            latest, fit = until, min(most, lane.room_in((until - now) / lane.takes(OVERDUE)))
+            crew, size, long = [first], first.msg.size, now + lane.takes(OVERDUE) * lane.stretched(fit)
             for more, held, _ in able if fit > 1 else ():
                 fits = held.due >= long and size + held.msg.size <= self.s.call_bytes
                 if fits and len(crew) < fit and held is not first and self._may_send(now, held, door):
@@ -553,7 +552,7 @@
 
     def _give_up(self, now: float, held: Held, lane: Lane, size: int) -> float:
         until = held.due  # more is lost with a shared call given up too early than with a slot held longer
-        patience = (lane.mean + DEVIATIONS * lane.dev) * lane.stretch * (1 + FURTHER * (size - 1))
+        patience = lane.takes(DEVIATIONS) * (1 + FURTHER * (size - 1))
         last = held.tries + 1 >= self.s.attempts or held.cls.effect is Effect.UNSAFE
         if held.cls.effect is Effect.KEYED:
             risk = held.first_risk if held.first_risk is not None else now
@@ -569,13 +568,13 @@
             door.warm.pop()
         if suspect(lane, now):  # the next call there: spread, and rarer the longer it lasts
             lane.next_trickle = now + 1000 / self._pace(now, lane, True)[0] * self.rng.uniform(0.7, 1.3)
-        call = Call(len(crew), len(crew))
+        call, keep = Call(len(crew), len(crew)), self.board.kinds[door.entry.kind].full_up < SCARCE
         door.joins_at = now if len(crew) < lane.batch else door.joins_at
         for held in crew:
             self.board.unqueue(held)
             held.out, held.call, held.out_since, held.tries = door, call, now, held.tries + 1
             lane.out[held.msg.id] = held
-            acts.append(Send(held.msg.id, door.entry.id, until))
+            acts.append(Send(held.msg.id, door.entry.id, until, keep))
         door.out += 1
         lane.calls += 1
         lane.credit -= 1 + FURTHER * (len(crew) - 1) if now < lane.cold_since + self.s.safety.cold_ms else 1
--- a/linnetstile/interface.py
+++ b/linnetstile/interface.py
@@ -224,6 +224,7 @@
     wait_ms: float = 0.0  # told with Outcome.FULL, or for a call of which a part was refused
     no_slot: bool = False  # with Outcome.NOT_SENT
     report: tuple[float, ...] = ()
+    kept: bool | None = None  # whether it went on a connection that was kept; None: not known
 
 
 @dataclass(frozen=True, slots=True)
@@ -289,6 +290,7 @@
     id: int
     endpoint: int
     give_up_at_ms: float
+    keep: bool = True  # the connection, for the next call
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/net/egress.py
+++ b/linnetstile/net/egress.py
@@ -35,6 +35,7 @@
     may_write: Callable[[], bool]  # asked right before the first byte, and the last if it is held back
     careful: bool = False  # an unclear outcome would be final
     class_: str = ""  # for the figures
+    keep: bool = True  # the connection, once answered
     note: Callable[[], bool] = lambda: True  # writes the try down, before its last byte may leave
 
 
@@ -44,6 +45,7 @@
     answer finds what there is."""
 
     link: Link | None = None
+    free: bool = True  # it is nobody else's: the call's end is its end
     sent: list[Call] = field(default_factory=list)  # those of its messages that may go
 
     def cut_off(self, cut: Outcome, wait_ms: float = 0.0, on: str = "") -> Answer:
@@ -64,6 +66,7 @@
     over: bool = False  # the endpoint says that nothing more is owed
     report: tuple[float, ...] = ()  # what it told of its limit, in the order of the settings' fields
     on: str = field(default="", compare=False)  # the connection that it was on, for the log
+    kept: bool | None = field(default=None, compare=False)  # whether that was one from an earlier call
 
 
 def answer_of(head: Head) -> Answer:
@@ -162,8 +165,9 @@
         trip = Trip()
         answer, each = await self._together(calls, trip)
         unsent = Answer(Outcome.NOT_SENT)
-        return [each.get(call.trace_id, answer) if call in trip.sent or not trip.sent else unsent
-                for call in calls]
+        kept = None if trip.link is None else trip.link.calls > 1
+        return [replace(each.get(call.trace_id, answer), kept=kept) if call in trip.sent or not trip.sent
+                else unsent for call in calls]
 
     async def _together(self, calls: list[Call], trip: Trip) -> tuple[Answer, dict[str, Answer]]:
         """How all fared that were sent, and those that the answer names. Giving up closes the connection,
@@ -191,8 +195,8 @@
                 if answer.outcome is not Outcome.OK:
                     wait = answer.wait_ms
                     await self._to_its_end(link, answer.outcome.proves_no_effect)
-            if answer.outcome is Outcome.OK or link.whole.done():
-                trip.link = None
+            if call.keep and (answer.outcome is Outcome.OK or link.whole.done()):
+                trip.free = False
                 self._after_body(key, link)
             return answer, each
         except TimeoutError:
@@ -207,7 +211,7 @@
                 on = f"call {link.calls}, idle {link.rested * 1000:.0f} ms"
             return trip.cut_off(Outcome.RESET, wait, on), {}
         finally:
-            if trip.link is not None:
+            if trip.link is not None and trip.free:
                 trip.link.close()
 
     @staticmethod
@@ -234,7 +238,7 @@
             hold_s = max((self._hold_s(call, kept) for call in sent), default=0.0)
             trip.sent = sent = sent if hold_s else [call for call in sent if call.note()]
             if not sent:
-                trip.link = None
+                trip.free = False
                 self._keep(key, link)
                 return None
             try:
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -371,11 +371,12 @@
         for endpoint in dict.fromkeys(send.endpoint for send in sends):
             mine = [(send.id, self.held[send.id]) for send in sends if send.endpoint == endpoint]
             until = min(send.give_up_at_ms for send in sends if send.endpoint == endpoint)
+            keep = all(send.keep for send in sends if send.endpoint == endpoint)
             known = self.directory.by_number.get(endpoint)
             batch = 1 if known is None else self.settings.kinds[known.entry.kind].batch
             for first in range(0, len(mine), batch):
                 group = mine[first : first + batch]
-                task = self.tasks.start(self._call(group, endpoint, until))
+                task = self.tasks.start(self._call(group, endpoint, until, keep))
                 for _, held in group:
                     held.attempts, held.call = held.attempts + 1, task
 
@@ -548,7 +549,7 @@
 
     # -- calls -------------------------------------------------------------------------------------------
 
-    async def _call(self, group: list[tuple[int, Held]], endpoint: int, until: float) -> None:
+    async def _call(self, group: list[tuple[int, Held]], endpoint: int, until: float, keep: bool) -> None:
         begun = self.now()
         attempts = [held.attempts - 1 for _, held in group]
         known = self.directory.by_number.get(endpoint)
@@ -559,7 +560,7 @@
                     endpoint, known.address, held.entry.id, held.entry.key, held.entry.body, until / 1000,
                     partial(self._may_write, number, held),
                     careful=self._effect(held.entry) is api.Effect.UNSAFE, class_=held.entry.class_,
-                    note=self._noted(held.entry, known.name, known.entry.zone))
+                    keep=keep, note=self._noted(held.entry, known.name, known.entry.zone))
                     for number, held in group])
         except asyncio.CancelledError:
             answers = [Answer(api.Outcome.CANCELLED)] * len(group)  # by the module, or at the process's end
@@ -606,4 +607,4 @@
             elif entry.out is not None:
                 self._journal(lambda: self.journal.outcome(entry, not answer.outcome.proves_no_effect))
         self._feed(api.AttemptEnded(number, attempt, endpoint, answer.outcome, took, answer.over,
-                                    answer.wait_ms, answer.no_slot, answer.report))
+                                    answer.wait_ms, answer.no_slot, answer.report, answer.kept))
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -61,6 +62,22 @@
         return self.worth * (1 - (1 - self.cls.late_share) * late / (self.cls.deadline_ms - self.cls.aim_ms))
 
 
+@dataclass(slots=True)
+class Kind:
+    """What is seen of all destinations of one kind: endpoints of the same make."""
+
+    full_up: float = 0.0  # share of new connections, the latest counting most, whose call was turned away
+
+    def seen(self, outcome: Outcome, wait_ms: float, kept: bool | None) -> None:
+        """A refusal that tells no wait may mean a limit, a full queue, or too many connections: what is
+        refused on kept ones as well is not for want of those. One that is lucky to have a connection sees
+        none refused, so others of its kind have to tell it."""
+        if outcome is Outcome.FULL and not wait_ms and kept is not None:
+            self.full_up = self.full_up * 0.7 if kept else self.full_up + 0.3 * (1 - self.full_up)
+        elif outcome is Outcome.OK and kept is False:
+            self.full_up *= 0.95
+
+
 @dataclass(slots=True)
 class Door:
     """One endpoint as this relay sees it."""
@@ -106,6 +123,10 @@
     knowers: float = 1.0  # relays that may know of the latest outage
     next_trickle: float = 0.0
 
+    def takes(self, deviations: float) -> float:
+        """Longer than most calls take, by so many mean deviations."""
+        return (self.mean + deviations * self.dev) * self.stretch
+
     def stretched(self, size: int) -> float:
         """How many times longer a call of so many messages takes than a call of one."""
         return 1 + self.further * (size - 1)
@@ -164,6 +185,7 @@
         self.queues: dict[int, dict[int, Held]] = {}
         self.look_at: dict[int, float] = {}  # destination -> when its queue is looked at again
         self.lines: dict[int, list[int]] = {}
+        self.kinds: dict[int, Kind] = defaultdict(Kind)
 
     def add(self, held: Held) -> None:
         self.held[held.msg.id] = held
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 from functools import partial
 from collections.abc import Callable
 
@@ -442,3 +443,14 @@
         calls.keep_only({(1, kept.address)})
         assert set(calls.idle) == {(1, kept.address)} and not link.usable
     run(work())
+
+
+def test_a_connection_that_is_not_to_be_kept_ends_with_its_answer() -> None:
+    async def work() -> None:
+        server, calls = await Server().start(), egress()
+        first = await calls.call(call(server.address))
+        second = await calls.call(replace(call(server.address), keep=False))
+        assert (first.kept, second.kept) == (False, True)
+        await until(server.left)
+        assert not any(calls.idle.values()) and server.opened == 1
+    run(work())
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -481,3 +481,18 @@
         (left,) = Journal(state, 3_000_000).entries.values()
         assert left.end == "" and left.tries == 1 and left.risk is not None and left.body == b"hello"
     run(work())
+
+
+def test_a_relay_whose_new_connections_are_turned_away_keeps_none(state: Path) -> None:
+    """Others want its place: endpoints hold few."""
+    async def work() -> None:
+        agent, server = await pair()
+        server.script += [answer(503, "Connection: close")] * 4
+        async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
+            for turn in range(4):
+                assert await client.ask(message(f"m{turn}")) == 202
+            await until(lambda: not host.held)
+            assert server.opened >= 5
+            await until(server.left)
+            assert not host.egress.idle
+    run(work())
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import pytest
+
 from linnetstile import interface as api
 from linnetstile.control import ROUGH
 
@@ -789,3 +791,38 @@
         for ident in range(1, 20):
             d.feed(api.Message(ident, 1, SAFE, 8000.0, age_ms=age))
         assert all(held.worth == 1.0 for held in d.relay.board.held.values()) == within
+
+
+def turned_away(d: Driver, dest: int, kept: bool, times: int = 4, wait: float = 0.0,
+                outcome: api.Outcome = api.Outcome.FULL) -> None:
+    for _ in range(times):
+        ident = d.message(SAFE, dest)
+        while ident not in d.out:
+            d.pass_time(20)
+        number, send = d.tries[ident] - 1, d.out.pop(ident)
+        d.feed(api.AttemptEnded(ident, number, send.endpoint, outcome, 5.0, True, wait, kept=kept))
+
+
+@pytest.mark.parametrize(("kept", "wait", "keeps"),
+                         [(False, 0.0, False), (True, 0.0, True), (False, 5.0, True)])
+def test_no_connection_is_kept_where_new_ones_are_turned_away(kept: bool, wait: float, keeps: bool) -> None:
+    """Guards a fleet against the few that got an endpoint's few connections and keep them. They are never
+    turned away there, so it is learned at other endpoints of that kind; a limit refuses on kept ones too."""
+    d = Driver(make_settings(kinds=(api.DestinationKind("few"), api.DestinationKind("many"))))
+    for kind, (ident, dest) in enumerate([(11, 1), (33, 3)]):
+        d.feed(api.EndpointList(api.ListKind.CHANGES, (
+            api.Endpoint(ident, dest, api.Listing.READY, kind, 0, 20.0),
+            api.Endpoint(ident + 11, dest + 1, api.Listing.READY, kind, 0, 20.0))))
+    turned_away(d, 1, kept, wait=wait)
+    d.pass_time(60000)
+    lucky, other = d.message(SAFE, 2), d.message(SAFE, 3)
+    assert (d.out[lucky].keep, d.out[other].keep) == (keeps, True)
+
+
+def test_connections_are_kept_again_once_new_ones_are_let_in() -> None:
+    d = Driver()
+    d.listed((11, 1), (22, 2))
+    turned_away(d, 1, False)
+    turned_away(d, 2, False, 20, outcome=api.Outcome.OK)
+    d.pass_time(1000)
+    assert d.out[d.message(SAFE, 2)].keep
