Pace nothing by a guess where neither list nor report tells a rate, until a refusal does

At fault: control._add takes START for each relay's part where no rate is listed, and `_pace` held it to half a call a second, saved up to one; each refusal set it back there (`paced`, `part > START`). Such a lane is `untold` now: paced by nothing but its slots until the first refusal, which sets the pace, and what all relays may send, by the rate of calls that it got until then. The tests fail before.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -158,9 +158,9 @@
         lanes = self.lanes.setdefault(dest, {})
         listed = entry.rate if self.s.rates is not Rates.NONE and entry.rate > 0 else 0.0
         if key not in lanes:
-            total = listed or START * self.s.relays
+            pace = (total := listed or START * self.s.relays) / self.s.relays / self.rough
             batch = self.s.kinds[entry.kind].batch if entry.kind < len(self.s.kinds) else 1
-            lanes[key] = Lane(*self.usual, total, total / self.s.relays / self.rough, BURST, now, batch)
+            lanes[key] = Lane(*self.usual, total, pace, BURST, now, batch, listed > 0)
             if (learned := self.learned.pop((dest, key), None)) is not None:
                 lanes[key].take(learned.figures, True)
         lane, door = lanes[key], self.doors.get(entry.id)
@@ -300,7 +300,8 @@
         door.lane.out.pop(event.id, None)
         call.left -= 1
         if not call.left:
-            self._freed(now, door, event.outcome)
+            self.busy -= 1
+            door.freed(now, event.outcome)
         self.board.look(held.msg.destination)
         if not event.outcome.proves_no_effect and held.first_risk is None:
             held.first_risk, held.risk = held.out_since, door.entry
@@ -329,12 +330,6 @@
         else:
             self._wait(held)
 
-    def _freed(self, now: float, door: Door, last: Outcome) -> None:
-        self.busy -= 1
-        door.out -= 1
-        door.lane.calls -= 1
-        door.warm = [*door.warm, now] if last in (Outcome.OK, Outcome.ERROR, Outcome.FULL) else []
-
     def _answered(self, now: float, door: Door, held: Held, took: float) -> None:
         lane = door.lane
         self.usual = averaged(*self.usual, took, 0.05)
@@ -367,6 +362,9 @@
         lane.bad_since = held.out_since if lane.bad_since is None else lane.bad_since
         lane.ran_nothing = event.outcome.proves_no_effect
         if event.outcome is Outcome.FULL:
+            if lane.untold:  # the first refusal: what it takes is about what it got
+                lane.pace = max(START, lane.rate(now))
+                lane.total = lane.pace * self.s.relays
             part, cut = lane.total / self.s.relays, lane.pace * CUT
             paced = now < lane.free_at or part > START  # if not, the equal part is the first guess
             lane.pace = max(part / 3, min(cut, (lane.pace * part) ** 0.5)) if paced else part
@@ -423,6 +421,7 @@
         if out or bad and (lane.failed_at > lane.last_ok or lane.hold > HOLD_MS):
             return cold / self._knowers(now, lane), 1.0
         pace = max(lane.pace, START * (now > lane.free_at and not lane.reported))  # rare ones fit most limits
+        pace = max(pace, 1000 * self.s.slots / lane.mean) if lane.untold else pace
         if now < lane.cold_since + safety.cold_ms:
             warmth = (1 - safety.cold_share) * (now - lane.cold_since) / safety.cold_ms
             return min(pace, cold * (1 + warmth / max(safety.cold_share, 0.01)) / lane.knowers), 1.0
@@ -576,7 +575,7 @@
             lane.out[held.msg.id] = held
             acts.append(Send(held.msg.id, door.entry.id, until, keep))
         door.out += 1
-        lane.calls += 1
+        lane.sent(now)
         lane.credit -= 1 + FURTHER * (len(crew) - 1) if now < lane.cold_since + self.s.safety.cold_ms else 1
         self.busy += 1
 
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -10,6 +11,7 @@
 
 NEVER = float("-inf")
 UNKNOWN = -1.0  # stands for a time that is not set, in what one process tells another
+FLOW_MS = 2000.0  # calls count so long as sent of late
 FURTHER = 0.25  # of a call's time that each further message may add: "somewhat more work", taken high
 
 
@@ -89,6 +91,12 @@
     faults: dict[int, float] = field(default_factory=dict)  # class -> latest failure, if none answered since
     warm: list[float] = field(default_factory=list)  # when each idle connection was last used
 
+    def freed(self, now: float, last: Outcome) -> None:
+        """A call has ended, the last of its messages so."""
+        self.out -= 1
+        self.lane.calls -= 1
+        self.warm = [*self.warm, now] if last in (Outcome.OK, Outcome.ERROR, Outcome.FULL) else []
+
 
 @dataclass(slots=True)
 class Lane:
@@ -101,6 +109,7 @@
     credit: float
     credit_at: float
     batch: int = 1  # messages in one call, at most
+    listed: bool = True  # with a rate
     calls: int = 0  # out
     doors: dict[int, Door] = field(default_factory=dict)
     out: dict[int, Held] = field(default_factory=dict)
@@ -122,6 +131,21 @@
     cold_since: float = NEVER
     knowers: float = 1.0  # relays that may know of the latest outage
     next_trickle: float = 0.0
+    flow: float = 0.0  # calls sent of late
+    flow_at: float = 0.0
+
+    @property
+    def untold(self) -> bool:
+        """Nothing has said yet how much it takes: neither the list, nor a report, nor a refusal."""
+        return not self.listed and not self.reported and self.free_at == NEVER
+
+    def sent(self, now: float) -> None:
+        self.calls += 1
+        self.flow, self.flow_at = 1 + self.rate(now) * FLOW_MS / 1000, now
+
+    def rate(self, now: float) -> float:
+        """Calls a second of late."""
+        return self.flow * math.exp((self.flow_at - now) / FLOW_MS) * 1000 / FLOW_MS
 
     def takes(self, deviations: float) -> float:
         """Longer than most calls take, by so many mean deviations."""
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -826,3 +826,34 @@
     turned_away(d, 2, False, 20, outcome=api.Outcome.OK)
     d.pass_time(1000)
     assert d.out[d.message(SAFE, 2)].keep
+
+
+def clump(d: Driver, count: int) -> int:
+    """So many messages at once, each answered after 50 ms; how many went out within a second."""
+    before = len(d.sent)
+    for _ in range(count):
+        d.message(SAFE, 1)
+    for _ in range(20):
+        d.pass_time(50)
+        for ident in list(d.out):
+            d.answer(ident, took=50.0)
+    return len(d.sent) - before
+
+
+@pytest.mark.parametrize(("rates", "paced"), [(api.Rates.NONE, False), (api.Rates.NOMINAL, True)])
+def test_where_no_rate_is_told_nothing_is_paced_before_a_refusal(rates: api.Rates, paced: bool) -> None:
+    """Guards destinations whose limit neither the list nor a report tells: a guess would starve them."""
+    d = Driver(make_settings(rates=rates))
+    d.listed((11, 1), rate=2.0)
+    assert (clump(d, 12) < 12) == paced
+
+
+def test_the_first_refusal_tells_about_what_is_taken() -> None:
+    d = Driver(make_settings(rates=api.Rates.NONE))
+    d.listed((11, 1))
+    clump(d, 12)
+    (lane,) = d.relay.lanes[1].values()
+    ident = d.message(SAFE, 1)
+    d.answer(ident, api.Outcome.FULL)
+    assert 1.0 < lane.pace < 12.0 and lane.total >= lane.pace
+    assert clump(d, 30) < 30
