--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -221,3 +221,14 @@
     assert d.relay.board.held[ident].owed
     d.answer(ident, outcome)
     assert d.relay.board.held[ident].owed == first
+
+
+def test_what_a_restart_found_is_tried_once_its_endpoints_are_listed() -> None:
+    """The list that the configuration brings may be older than they are."""
+    d = Driver()
+    found = resumed(d, 1, 2, left=1500.0)
+    d.pass_time(1000)
+    assert not d.sent and not d.ended
+    d.listed((11, 1))
+    d.pass_time(300)
+    assert set(d.tries) == set(found)
