--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -1,4 +1,5 @@
-"""Every decision of a relay. Vocabulary: linnetstile/interface.py; memory: linnetstile/state.py.
+"""Every decision of a relay. Vocabulary: linnetstile/interface.py; memory: linnetstile/state.py; outlier
+detection: linnetstile/health.py.
 
 Messages for one destination wait in a queue; what was seen of it is in its `Lane` (of each route, if apart).
 """
@@ -8,6 +9,7 @@
 import heapq
 import random
 
+from .health import FADE_MS, OVERDUE, averaged, doubt, suspect
 from .interface import (
     Action, AttemptEnded, Closing, Duty, Effect, Elsewhere, Endpoint, EndpointList, Event, Fail, HandOver,
     Learned, Listing, ListKind, Message, Mode, Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings,
@@ -17,14 +19,12 @@
 
 MARGIN_MS = 20.0  # messages are closed so long before their time is up
 LOOK_MS = 500.0  # a queue that waits for something is looked at again at least so often
-FADE_MS = 10000.0  # older evidence counts no more: an answer or a failure of so long ago
 HOLD_MS, HOLD_MAX_MS = 4000.0, 16000.0  # a refusal paces for so long: a clump's time; doubles while refused
 RETRY_MS = 120.0  # first pause before another try: about one round trip; doubles from try to try
 RETRY_MAX_MS = 4000.0  # no pause is longer: beyond it a message's aim is lost anyway
 USUAL_MS = 500.0, 250.0  # latency and its mean deviation, until destinations have answered
 DEVIATIONS = 10.0  # a time-out lies so many mean deviations above the mean: answers have a long tail
 LAST = 3.0  # the last try a message can have waits so many times longer: a late answer still saves it
-OVERDUE = 4.0  # an answer is overdue so many mean deviations above the mean
 STRETCH_MAX = 8.0  # time-outs double while calls time out (slow is not down), up to this factor
 BURST_S, BURST = 2.0, 3.0  # calls saved up for a clump: seconds of the pace, or so many if of the equal part
 START = 0.5  # calls a second that one of many relays may send unpaced, until one is refused or a limit told
@@ -43,25 +43,6 @@
 FIRST = 1e9  # above any worth: what a restart found untried goes before all that came since
 
 
-def averaged(mean: float, dev: float, took: float, gain: float) -> tuple[float, float]:
-    return mean + gain * (took - mean), dev + gain * (abs(took - mean) - dev)
-
-
-def doubt(door: Door, now: float, class_: int) -> float:
-    """Guards against an endpoint that fails, or fails one class: others go first until that fades."""
-    recent = [c for c, at in door.faults.items() if now - at < FADE_MS]
-    return 8.0 * (class_ in recent) + 2.0 * len(recent)
-
-
-def suspect(lane: Lane, now: float) -> bool:
-    """Out, or each endpoint owes an answer that is overdue, and none came since: hung, gone or slow."""
-    if lane.sick or not lane.out:
-        return lane.sick
-    overdue = now - lane.takes(OVERDUE)
-    late = [held.out for held in lane.out.values() if held.out and lane.last_ok <= held.out_since < overdue]
-    return bool(late) and {door.entry.id for door in late}.issuperset(lane.doors)
-
-
 Choice = tuple[float, list[Held], Door]  # worth per slot time, the messages of one call, endpoint
 
 
