Bind a told wait from when its head is read, not from its answer's end

Cause: egress._together handed the wait of an answer to the module only once _to_its_end had seen the whole body or given up after BODY_S (1 s), and a shared call's 200 only with its whole body; a call for the same destination whose connection came up in between was written. Ruled out: outcomes lost with their message (a message stays held while its call is out), the hand-over (it tells waits within 20 ms), connects (may_write is asked after them). Change: Link tells of a head as it is parsed, and of a first line whose head is not there yet; the module hears WaitTold at once and holds the destination, also where the answer may yet tell a wait. The wait counts from then, not from the answer's end. A call too large for the socket at once keeps its last byte back and asks again before it. The crossing's older test keeps such calls whole, since their last byte no longer waits.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -13,7 +13,7 @@
 from .interface import (
     Action, AttemptEnded, Closing, Duty, Effect, Elsewhere, Endpoint, EndpointList, Event, Fail, HandOver,
     Learned, Listing, ListKind, Message, Mode, Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings,
-    TimerFired, WatchList, Withdrawn,
+    TimerFired, WaitTold, WatchList, Withdrawn,
 )
 from .state import FURTHER, NEVER, Board, Call, Door, Held, Lane
 
@@ -76,6 +76,8 @@
                     self._accept(now_ms, event)
                 case AttemptEnded():
                     self._ended(now_ms, event)
+                case WaitTold():
+                    self._wait_told(now_ms, event)
                 case EndpointList():
                     self._listed(now_ms, event)
                 case Withdrawn():
@@ -202,7 +204,7 @@
         if held.out is not None or entry.id not in self.doors or now >= self._until(held):
             return False
         late = now + lane.mean / 4 >= held.due or now + lane.takes(OVERDUE) > self.closing_at
-        if late or now < max(lane.wait_until, held.ready, self._turn(held)):
+        if late or lane.telling or now < max(lane.wait_until, held.ready, self._turn(held)):
             return False
         if held.risk is None or held.cls.effect is not Effect.KEYED or held.cls.key_scope is Scope.ALL:
             return True
@@ -217,7 +219,8 @@
         keyed = held.cls.effect is Effect.KEYED and held.first_risk is not None
         window = (held.first_risk or 0.0) + held.cls.key_window_ms - self.s.tick_ms if keyed else held.due
         door, until = held.out, min(held.due, window, self.closing_at)
-        return self.doors.get(door.entry.id) is door and door.lane.wait_until <= now < until
+        told = door.lane.wait_until > now or door.lane.telling
+        return self.doors.get(door.entry.id) is door and not told and now < until
 
     def _until(self, held: Held) -> float:
         """Until when another try is allowed: not past the attempts, nor where it could take effect twice."""
@@ -273,12 +276,21 @@
 
     # -- outcomes ----------------------------------------------------------------------------------------
 
+    def _wait_told(self, now: float, event: WaitTold) -> None:
+        """A wait binds from when it is read: the rest of its answer may come late, spoilt or never."""
+        held = self.board.held.get(event.id)
+        if held is not None and held.out is not None and held.call is not None:
+            held.out.lane.tells(event.id, now, event.wait_ms)
+            held.call.told_at = now
+            self.board.look(held.msg.destination)
+
     def _ended(self, now: float, event: AttemptEnded) -> None:
         held = self.board.held.get(event.id)
         if held is None or held.out is None or held.call is None:
             return
         door, call, held.out, held.call = held.out, held.call, None, None
         door.lane.out.pop(event.id, None)
+        door.lane.telling.discard(event.id)
         call.left -= 1
         if not call.left:
             self.busy -= 1
@@ -294,7 +306,8 @@
         pause = min(RETRY_MAX_MS, RETRY_MS * 2 ** (held.tries - 1)) * self.rng.uniform(0.7, 1.3)
         held.ready = now + pause
         if event.wait_ms > 0:  # told to many relays at once: the growing, jittered pause comes after it
-            door.lane.wait_until = max(door.lane.wait_until, held.ready + event.wait_ms)
+            told_at = now if call.told_at is None else call.told_at
+            door.lane.wait_until = max(door.lane.wait_until, told_at + event.wait_ms + pause)
             door.lane.credit_at = door.lane.wait_until  # room for one comes back then, not what was saved up
         if event.outcome in call.taught:
             pass  # one call is one piece of evidence, however many messages shared its fate
@@ -492,8 +505,8 @@
             if out and lane.calls >= quarter or calls >= half and (out or len(self.board.queues) > 1):
                 continue
             room_at, overdraw_at = self._room_at(now, lane, out)
-            if (may := max(overdraw_at, lane.wait_until)) > now:  # nobody's turn: a long queue is not read
-                look = min(look, may)
+            if lane.telling or (may := max(overdraw_at, lane.wait_until)) > now:  # nobody's turn
+                look = look if lane.telling else min(look, may)  # a long queue is not read
                 continue
             # Slot time for one delivery, failed calls counted: scarce slots go to destinations that answer.
             cost = lane.mean + lane.blame * lane.lost / (1 - lane.blame)
--- a/linnetstile/interface.py
+++ b/linnetstile/interface.py
@@ -227,6 +227,15 @@
     kept: bool | None = None  # whether it went on a connection that was kept; None: not known
 
 
+@dataclass(frozen=True, slots=True)
+class WaitTold:
+    """The answer to a message's call has begun, and tells its destination to be left alone for so long; None:
+    its first line has come, and whether it tells a wait is about to be known. Its outcome comes later."""
+
+    id: int
+    wait_ms: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
     endpoint: int
@@ -281,7 +290,7 @@
     figures: tuple[tuple[str, float], ...]
 
 
-Event = Union[EndpointList, Message, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, Closing, Duty,
+Event = Union[EndpointList, Message, AttemptEnded, WaitTold, ProbeEnded, Withdrawn, TimerFired, Closing, Duty,
               Elsewhere, Learned]
 
 
--- a/linnetstile/net/egress.py
+++ b/linnetstile/net/egress.py
@@ -17,8 +17,10 @@
 BODY_BYTES = 64 * 1024
 CAREFUL_HOLD_S = 0.025  # the last byte of what must not run twice waits for an end that is on its way
 HOLD_S = 0.005  # and that of other calls, while connections break: most ends come as quickly as this
+WAIT_TOLD = (429, 503)  # refusals, whose heads may hold a wait; so may a 200 for several messages
 REPORT = re.compile(r"(\w+)=([^\s,]+)")  # in Endpoint-Load-Metrics: TEXT x0=0.4, x1=25
 WARY_S = 10.0  # so long after one that was kept has broken
+AT_ONCE_BYTES = 2048  # with its head less than 4 KiB: the least that Linux keeps for a socket to send
 
 
 Key = tuple[int, Address]  # an endpoint's number and where it is: another may come to its address
@@ -37,6 +39,9 @@
     class_: str = ""  # for the figures
     keep: bool = True  # the connection, once answered
     note: Callable[[], bool] = lambda: True  # writes the try down, before its last byte may leave
+    # Told as soon as the answer's head is read: the wait in it (ms); None: its first line has come, and what
+    # follows may tell one.
+    told_wait: Callable[[float | None], None] = lambda wait_ms: None
 
 
 @dataclass(slots=True)
@@ -47,10 +52,23 @@
     link: Link | None = None
     free: bool = True  # it is nobody else's: the call's end is its end
     sent: list[Call] = field(default_factory=list)  # those of its messages that may go
-
-    def cut_off(self, cut: Outcome, wait_ms: float = 0.0, on: str = "") -> Answer:
+    hinted: bool = False  # the answer has begun and may tell a wait
+
+    def heard(self, code: int, head: Head | None) -> None:
+        """A wait binds the whole destination from when it is written: it is told on as soon as it is read,
+        whatever becomes of the rest of its answer, and of the call's task."""
+        if code in WAIT_TOLD or code == 200 and len(self.sent) > 1:
+            wait = None if head is None else wait_of(head)
+            if wait is None or wait > 0 or self.hinted:
+                self.hinted = True
+                self.sent[0].told_wait(wait)
+
+    def cut_off(self, cut: Outcome, on: str = "") -> Answer:
         """What is known of a call that ends without its whole answer."""
-        link = self.link
+        link, wait_ms = self.link, 0.0
+        if link is not None and link.head.done() and not link.head.cancelled() and not link.head.exception():
+            head = link.head.result()
+            wait_ms = wait_of(head) if head.status in WAIT_TOLD or len(self.sent) > 1 else 0.0
         if link is None or not link.out:
             return Answer(Outcome.CONNECT_FAILED, wait_ms=wait_ms, on=on)  # no endpoint had all of it
         if len(self.sent) == 1 and link.code == 200:
@@ -71,7 +89,7 @@
 
 def answer_of(head: Head) -> Answer:
     """Each row of the protocol's table in which an answer came back."""
-    wait = told_wait(head.headers.get("x-ratelimit-wait-ms", ""))
+    wait = wait_of(head)
     match head.status:
         case 200:
             return Answer(Outcome.OK, over=True)
@@ -108,7 +126,7 @@
 
 def answers_of(head: Head, body: bytes) -> dict[str, Answer]:
     """How each message of a call of several ended, by its id; a line that makes no sense tells of none."""
-    wait = told_wait(head.headers.get("x-ratelimit-wait-ms", ""))
+    wait = wait_of(head)
     lines = [line.split() for line in body.decode("latin-1").splitlines()]
     return {line[0]: replace(FATES[line[1]], wait_ms=wait) for line in lines
             if len(line) == 2 and line[1] in FATES}
@@ -123,9 +141,10 @@
     return b"".join(line_of(call.trace_id, call.key, call.body) for call in calls)
 
 
-def told_wait(text: str) -> float:
+def wait_of(head: Head) -> float:
+    """How long an answer tells to wait, in milliseconds; 0 if it tells nothing that makes sense."""
     try:
-        wait = float(text)
+        wait = float(head.headers.get("x-ratelimit-wait-ms", ""))
     except ValueError:
         return 0.0
     return wait if wait > 0 and math.isfinite(wait) else 0.0
@@ -173,7 +192,7 @@
         """How all fared that were sent, and those that the answer names. Giving up closes the connection,
         which frees the slot at the endpoint."""
         call, each = calls[0], dict[str, Answer]()
-        key, wait = (call.endpoint, call.address), 0.0
+        key = call.endpoint, call.address
         try:
             async with asyncio.timeout_at(call.give_up_at):
                 link = await self._written(calls, trip, key)
@@ -193,23 +212,22 @@
                     answer = replace(answer, report=report)
                     each = {ident: replace(one, report=report) for ident, one in each.items()}
                 if answer.outcome is not Outcome.OK:
-                    wait = answer.wait_ms
                     await self._to_its_end(link, answer.outcome.proves_no_effect)
             if call.keep and (answer.outcome is Outcome.OK or link.whole.done()):
                 trip.free = False
                 self._after_body(key, link)
             return answer, each
         except TimeoutError:
-            return trip.cut_off(Outcome.TIMEOUT, wait), {}
+            return trip.cut_off(Outcome.TIMEOUT), {}
         except asyncio.CancelledError:  # the process ends: what has come is all that there will be
-            return trip.cut_off(Outcome.CANCELLED, wait), {}
+            return trip.cut_off(Outcome.CANCELLED), {}
         except LinkLost:
             link, on = trip.link, ""
             if link is not None and link.out:
                 if link.calls > 1:
                     self.broke_at = asyncio.get_running_loop().time()
                 on = f"call {link.calls}, idle {link.rested * 1000:.0f} ms"
-            return trip.cut_off(Outcome.RESET, wait, on), {}
+            return trip.cut_off(Outcome.RESET, on), {}
         finally:
             if trip.link is not None and trip.free:
                 trip.link.close()
@@ -235,18 +253,19 @@
             kept = link is not None
             trip.link = link = link or await self._connect(calls[0].address)
             sent = [call for call in calls if call.may_write()]
-            hold_s = max((self._hold_s(call, kept) for call in sent), default=0.0)
-            trip.sent = sent = sent if hold_s else [call for call in sent if call.note()]
+            hold_s = self._hold_s(sent, kept)
+            trip.sent = sent = [call for call in sent if call.note()] if hold_s is None else sent
             if not sent:
                 trip.free = False
                 self._keep(key, link)
                 return None
+            link.heard = trip.heard
             try:
                 if len(sent) == 1:
                     await link.send("POST", "/inbox", self._headers(sent[0]), sent[0].body, hold_s)
                 else:
                     await link.send("POST", "/inbox/bulk", self._shared_headers(sent[0]), bulk(sent), hold_s)
-                if hold_s:
+                if hold_s is not None:
                     # The time until the last byte counts too. The try is written down only now: a process
                     # that dies before this byte has made no call.
                     if not all(call.may_write() and call.note() for call in sent):
@@ -262,13 +281,16 @@
                 link.close()
         raise LinkLost("no connection stays up")
 
-    def _hold_s(self, call: Call, kept: bool) -> float:
-        """Guards against resets that say nothing: a call begins with its last byte, so a connection that
-        breaks before it, as one does that had ended unnoticed, proves that nothing ran."""
-        if call.careful:
+    def _hold_s(self, calls: list[Call], kept: bool) -> float | None:
+        """How long the last byte is held back; None if all goes out as one. Guards against resets that say
+        nothing: a call begins with its last byte, so a connection that breaks before it, as one does that
+        had ended unnoticed, proves that nothing ran. What may not fit into the socket at once leaves later
+        than it is written: whether it still may is asked again before its last byte."""
+        if any(call.careful for call in calls):
             return CAREFUL_HOLD_S
-        wary = kept and asyncio.get_running_loop().time() < self.broke_at + WARY_S
-        return HOLD_S if wary else 0.0
+        if kept and asyncio.get_running_loop().time() < self.broke_at + WARY_S:
+            return HOLD_S
+        return 0.0 if sum(len(call.body) for call in calls) > AT_ONCE_BYTES else None
 
     def keep_only(self, listed: set[Key]) -> None:
         """Closes the idle connections to endpoints that drain, are gone or have moved."""
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -560,7 +560,8 @@
                     endpoint, known.address, held.entry.id, held.entry.key, held.entry.body, until / 1000,
                     partial(self._may_write, number, held),
                     careful=self._effect(held.entry) is api.Effect.UNSAFE, class_=held.entry.class_,
-                    keep=keep, note=self._noted(held.entry, known.name, known.entry.zone))
+                    keep=keep, note=self._noted(held.entry, known.name, known.entry.zone),
+                    told_wait=partial(self._wait_told, number, held))
                     for number, held in group])
         except asyncio.CancelledError:
             answers = [Answer(api.Outcome.CANCELLED)] * len(group)  # by the module, or at the process's end
@@ -580,6 +581,13 @@
         taken back is known here before the module hears of it."""
         return self.held.get(number) is held and self.relay.may_write(self.now(), number)
 
+    def _wait_told(self, number: int, held: Held, wait_ms: float | None) -> None:
+        """At once, not with the next turn: another call may be about to write its first byte."""
+        log.info("message %s for %d: its answer tells a wait of %s ms", held.entry.id, held.entry.dest,
+                 "..." if wait_ms is None else f"{wait_ms:.0f}")
+        if not self.closed:
+            self._turn_now([api.WaitTold(number, wait_ms)])
+
     def _noted(self, entry: Entry, endpoint: str, zone: int) -> Callable[[], bool]:
         """One attempt in the journal, on however many connections it is begun."""
         noted = False
--- a/linnetstile/net/link.py
+++ b/linnetstile/net/link.py
@@ -5,7 +5,7 @@
 import asyncio
 import re
 import select
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import h11
@@ -58,6 +58,7 @@
         self.out = False  # the request's last byte has left: from then on it may run
         self.ends = False  # what is being written ends with that byte
         self.code = 0  # by the first line, whatever comes after it; 0 until then
+        self.heard: Callable[[int, Head | None], None] | None = None  # told of a head, or of one on its way
         self.status: asyncio.Future[int] = loop.create_future()  # tells of it
         self.head: asyncio.Future[Head] = loop.create_future()
         self.whole: asyncio.Future[bytes] = loop.create_future()
@@ -91,9 +92,11 @@
         if self.transport is not None:
             self.transport.abort()
 
-    async def send(self, method: str, target: str, headers: Headers, body: bytes, hold_s: float = 0) -> None:
+    async def send(self, method: str, target: str, headers: Headers, body: bytes,
+                   hold_s: float | None = None) -> None:
         """Returns once the last byte is written; LinkLost means that it was not. If it is to be held back,
-        only what comes before it is written, and `finish` is still to be called."""
+        for so many seconds at least, only what comes before it is written, and `finish` is still to be
+        called."""
         if not self.usable or self.transport is None:
             raise LinkLost("the connection is closed")
         loop = asyncio.get_running_loop()
@@ -106,10 +109,11 @@
                               headers=[*headers, ("Content-Length", str(len(body)))])
         events = [request, h11.Data(data=body), h11.EndOfMessage()]
         data = b"".join(self.http.send(event) or b"" for event in events)
-        if hold_s > 0:
+        if hold_s is not None:
             self.last_byte = data[-1:]
             await self._write(self.transport, data[:-1], ends=False)
-            await asyncio.wait([self.status], timeout=hold_s)
+            if hold_s > 0:
+                await asyncio.wait([self.status], timeout=hold_s)
             if self.status.done():
                 raise LinkLost("the connection broke before the request was whole")
         else:
@@ -197,6 +201,11 @@
     def _feed(self, data: bytes) -> None:
         if not self.code:
             self._read_status(data)
+        self._read(data)
+        if self.code and not self.head.done() and self.heard is not None:
+            self.heard(self.code, None)
+
+    def _read(self, data: bytes) -> None:
         try:
             self.http.receive_data(data)
             while True:
@@ -209,7 +218,10 @@
                     case h11.Response() if not self.head.done():
                         if not self.code:
                             self._says(event.status_code)
-                        self.head.set_result(Head(event.status_code, named(event.headers)))
+                        head = Head(event.status_code, named(event.headers))
+                        self.head.set_result(head)
+                        if self.heard is not None:
+                            self.heard(self.code, head)
                     case h11.Data(data=chunk):
                         self.body += chunk
                         if len(self.body) > self.body_bytes:
--- a/linnetstile/net/replacement.py
+++ b/linnetstile/net/replacement.py
@@ -141,6 +141,8 @@
         ends = [event for event in events if isinstance(event, api.AttemptEnded)]
         bad = {known.entry.destination for event in ends if event.outcome is not api.Outcome.OK
                and (known := self.directory.by_number.get(event.endpoint)) is not None}
+        bad |= {held.msg.destination for event in events if isinstance(event, api.WaitTold)
+                and event.wait_ms and (held := self.relay.board.held.get(event.id)) is not None}
         try:
             if bad:
                 self._say_lanes(bad)
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -21,6 +21,7 @@
 
     size: int  # messages sent in it
     left: int  # of them without an outcome yet
+    told_at: float | None = None  # when the wait was read that its answer tells
     taught: set[Outcome] = field(default_factory=set)  # what it has shown of its destination already
 
 
@@ -122,6 +123,7 @@
     hold: float = 0.0  # how long the latest refusal paces it
     free_at: float = NEVER  # a refusal paces it until then
     wait_until: float = NEVER
+    telling: set[int] = field(default_factory=set)  # messages whose answers have begun and may tell a wait
     blame: float = 0.0
     sick: bool = False
     failed_at: float = NEVER
@@ -139,6 +141,14 @@
         """Nothing has said yet how much it takes: neither the list, nor a report, nor a refusal."""
         return not self.listed and not self.reported and self.free_at == NEVER
 
+    def tells(self, ident: int, now: float, wait_ms: float | None) -> None:
+        """An answer has begun: it tells a wait, or may do so in a moment (None)."""
+        if wait_ms is None:
+            self.telling.add(ident)
+        else:
+            self.telling.discard(ident)
+            self.wait_until = max(self.wait_until, now + wait_ms)
+
     def sent(self, now: float) -> None:
         self.calls += 1
         self.flow, self.flow_at = 1 + self.rate(now) * FLOW_MS / 1000, now
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -168,6 +168,8 @@
     monkeypatch: pytest.MonkeyPatch, cut: type[Timer] | type[Ends], outcome: Outcome
 ) -> None:
     """Taken for one that never left, the message would go out a second time."""
+    monkeypatch.setattr(egress_module, "AT_ONCE_BYTES", 64 << 20)  # or its last byte would go alone
+
     async def work() -> None:
         big = b"x" * (32 << 20)  # more than the sockets between can hold: the last byte waits for the reader
         cuts = cut(monkeypatch)
