Send an end's notice again over another connection before it is late

Cause: Notices had one connection and one request out: on a connection that fell silent a notice waited for ANSWER_S (1 s) and a pause, and all later ends waited behind it, where 300 ms after its time a message is lost. Change: a notice that is not answered within 80 ms goes out once more over another of four connections, with growing pauses, while the first is still waited for; new ends never wait behind one that says nothing.

--- a/linnetstile/net/agent.py
+++ b/linnetstile/net/agent.py
@@ -53,10 +53,14 @@
     def __init__(self, first_s: float, most_s: float) -> None:
         self.first_s, self.most_s, self.fails = first_s, most_s, 0
 
-    async def pause(self) -> None:
+    def next_s(self) -> float:
+        """How long the pause is after one more failure."""
         wait = min(self.most_s, self.first_s * 2.0 ** min(self.fails, 16))
         self.fails += 1
-        await asyncio.sleep(wait * random.uniform(0.1, 1.9))
+        return wait * random.uniform(0.1, 1.9)
+
+    async def pause(self) -> None:
+        await asyncio.sleep(self.next_s())
 
     def reset(self) -> None:
         self.fails = 0
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -150,7 +150,7 @@
         for task in self.talks:  # Guards against waiting on an agent that is about to go
             task.cancel()
         self.watch.agent.close()
-        self.notices.agent.close()
+        self.notices.close()
         self.config = replace(self.config, discovery=config.discovery)
         self.watch.move(Agent(config.discovery))
         self.notices.move(Agent(config.discovery))
@@ -193,7 +193,7 @@
         self.ingress.hang_up()
         self.egress.keep_only(set())
         self.watch.agent.close()
-        self.notices.agent.close()
+        self.notices.close()
         self.journal.close()
 
     # -- operators ---------------------------------------------------------------------------------------
--- /dev/null
+++ b/tests/test_notices.py
@@ -0,0 +1,152 @@
+"""An end is told in time though connections to the platform fall silent, answer late or break."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+
+from linnetstile.net import outcomes
+from linnetstile.net.agent import Agent as AgentLink
+from linnetstile.net.agent import AgentError, Silent
+from linnetstile.net.outcomes import Notices
+
+from .loopback import Agent, answer, run, until
+
+TOO_LATE_S = 0.32  # from the notice until its message counts as lost: 20 ms before its time, 300 ms after
+
+
+class Clock(asyncio.SelectorEventLoop):
+    """A loop whose time goes on only while nothing is ready: to the next timer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.at = 0.0
+
+    def time(self) -> float:
+        return self.at
+
+    def _run_once(self) -> None:
+        if not self._ready and self._scheduled:  # type: ignore[attr-defined]
+            self.at = max(self.at, self._scheduled[0].when())  # type: ignore[attr-defined]
+        super()._run_once()  # type: ignore[misc]
+
+
+def on_a_given_clock(work: Coroutine[Any, Any, None]) -> None:
+    with asyncio.Runner(loop_factory=Clock) as runner:
+        runner.run(asyncio.wait_for(work, 60.0))
+
+
+class Platform:
+    """What connections do, in the order in which they are first used: "silent", "late", "reset" or "well"."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, *does: str) -> None:
+        self.does, self.kept = deque(does), dict[int, str]()
+        self.came: dict[str, float] = {}
+        self.requests = 0
+        platform = self
+
+        async def ask(link: AgentLink, method: str, target: str, body: bytes, s: float) -> tuple[int, bytes]:
+            does = platform.kept.get(id(link)) or (platform.does.popleft() if platform.does else "well")
+            platform.kept[id(link)] = does
+            platform.requests += 1
+            now = asyncio.get_running_loop().time
+            if does in ("silent", "late"):
+                await asyncio.sleep(s if does == "silent" else min(s, 0.3))
+                platform.kept[id(link)] = ""
+                if does == "silent":
+                    raise Silent("no answer")
+            elif does == "reset":
+                platform.kept[id(link)] = ""
+                raise AgentError("the connection broke")
+            for line in body.splitlines():
+                platform.came.setdefault(line.decode().split('"')[3], now())
+            return 204, b""
+
+        monkeypatch.setattr(AgentLink, "ask", ask)
+
+
+@pytest.mark.parametrize("does", [
+    ("silent",), ("silent", "silent"), ("late",), ("late", "silent"), ("reset",), ("silent", "reset"),
+])
+def test_an_end_is_told_in_time_whatever_the_first_connections_do(
+    does: tuple[str, ...], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("random.uniform", lambda low, high: high)  # the longest pauses
+
+    async def work() -> None:
+        platform, told = Platform(monkeypatch, *does), list[str]()
+        notices = Notices(AgentLink(("127.0.0.1", 1)), told.extend)
+        task = asyncio.ensure_future(notices.run())
+        notices.add("a", "failed")
+        await asyncio.sleep(0.01)
+        notices.add("b", "failed")  # while the first request is out
+        await asyncio.sleep(5.0)
+        assert platform.came.keys() == {"a", "b"} and sorted(told) == ["a", "b"]
+        assert platform.came["a"] < TOO_LATE_S and platform.came["b"] < 0.01 + TOO_LATE_S
+        assert not notices.waiting and len(notices.free) == outcomes.WAYS
+        task.cancel()
+    on_a_given_clock(work())
+
+
+def test_a_platform_that_says_nothing_is_not_asked_ever_faster(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work() -> None:
+        platform = Platform(monkeypatch, *["silent"] * 1000)
+        notices = Notices(AgentLink(("127.0.0.1", 1)), lambda idents: None)
+        task = asyncio.ensure_future(notices.run())
+        for n in range(500):
+            notices.add(str(n), "failed")
+        await asyncio.sleep(10.0)
+        assert platform.requests <= outcomes.WAYS * 10.0 / outcomes.ANSWER_S
+        task.cancel()
+    on_a_given_clock(work())
+
+
+def test_a_notice_goes_out_again_while_its_first_answer_is_waited_for(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """On sockets: the first connection takes it and never answers, and is waited for as long as this runs."""
+    monkeypatch.setattr(outcomes, "ANSWER_S", 600.0)
+
+    async def work() -> None:
+        agent, told = Agent(script=deque([None])), list[str]()
+        await agent.start()
+        notices = Notices(AgentLink(agent.address), told.extend)
+        task = asyncio.ensure_future(notices.run())
+        notices.add("a", "failed")
+        assert await agent.notices.get() == {"id": "a", "state": "failed"}
+        await until(lambda: told == ["a"])
+        assert agent.opened == 2 and agent.seen[0].body == agent.seen[1].body
+        notices.add("b", "failed")  # over the connection that has answered
+        await until(lambda: told == ["a", "b"])
+        assert agent.opened == 2
+        task.cancel()
+        notices.close()
+        await until(agent.left)
+    run(work())
+
+
+def test_an_answer_that_comes_twice_tells_of_an_end_once() -> None:
+    async def work() -> None:
+        agent, told, both = Agent(), list[str](), asyncio.Event()
+
+        async def reply(seen: Any) -> bytes:
+            agent.seen.append(seen)
+            if len(agent.seen) == 2:
+                both.set()
+            await both.wait()
+            return answer(204)
+
+        agent.reply = reply  # type: ignore[method-assign]
+        await agent.start()
+        notices = Notices(AgentLink(agent.address), told.extend)
+        task = asyncio.ensure_future(notices.run())
+        notices.add("a", "failed")
+        await until(lambda: len(notices.free) == outcomes.WAYS and bool(told))
+        assert told == ["a"] and len(agent.seen) == 2
+        task.cancel()
+        notices.close()
+    run(work())
