Make a turn cost what changes: ejections, queues, drains and lists kept as indexes

Cause: Relay.avoided walked every endpoint four times a second, _drop every destination for each endpoint, handle and _dispatch every queue that waits, and the host rebuilt its destinations and the set of all listed connections with every list event and each second. Change: health.Ejections keeps the ejected endpoints (the gauge's own term; Relay.avoided goes) with a heap for evidence that fades; state.Agenda is a heap of when queues are looked at; destinations without endpoints are remembered; the directory counts endpoints by destination; a connection's endpoint is asked for by itself.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -9,12 +9,13 @@
 import heapq
 import random
 
-from .health import FADE_MS, OVERDUE, averaged, doubt, suspect
+from .health import FADE_MS, OVERDUE, Ejections, averaged, doubt, forgotten, suspect
 from .interface import (
     Action, AttemptEnded, Closing, Duty, Effect, Elsewhere, Endpoint, EndpointList, Event, Fail, HandOver,
     Learned, Listing, ListKind, Message, Mode, Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings,
     TimerFired, WaitTold, WatchList, Withdrawn,
 )
+from .quotas import Quotas
 from .state import FURTHER, NEVER, Board, Call, Door, Held, Lane
 
 MARGIN_MS = 20.0  # messages are closed so long before their time is up
@@ -56,8 +57,10 @@
         self.ends: list[tuple[float, int]] = []  # heap: when a message can no longer be delivered
         self.lanes: dict[int, dict[int, Lane]] = {}  # destination -> its lanes
         self.doors: dict[int, Door] = {}
+        self.bare: set[int] = set()  # destinations of which a lane lost its last endpoint
+        self.ejections = Ejections()
         self.key_rest: dict[int, float] = {}  # in-order key -> end of its rest
-        self.shares = [(2 * tenant.quota_per_s / settings.relays, 0.0) for tenant in settings.tenants]
+        self.quotas = Quotas(settings)
         self.usual = USUAL_MS  # latency over all destinations: what one not yet seen is taken for
         self.busy, self.timer_at = 0, 0.0
         self.rough = ROUGH if settings.rates is Rates.ROUGH else 1.0
@@ -93,7 +96,7 @@
                     for dest in list(self.board.queues):
                         self.board.look(dest)
                 case Learned():
-                    self._learn(event)
+                    self._learn(now_ms, event)
         if self.ask_at is not None and now_ms >= self.ask_at:
             acts.append(WatchList())
             self.ask_at = now_ms + self.s.safety.ask_within_ms / 2  # asks again should no answer come
@@ -101,8 +104,8 @@
         self._dispatch(now_ms, acts)
         self._make_room(acts, now_ms)
         self._hand_over(acts)
-        wakes = [at for at in self.board.look_at.values() if at > now_ms] + [end[0] for end in self.ends[:1]]
-        wake = min(wakes + ([self.ask_at] if self.ask_at is not None else []), default=None)
+        wakes = [self.board.agenda.next_at(now_ms), self.ask_at, *(end[0] for end in self.ends[:1])]
+        wake = min((at for at in wakes if at is not None), default=None)
         if wake is not None and (self.timer_at <= now_ms or wake < self.timer_at):
             self.timer_at = max(wake, now_ms + self.s.tick_ms)
             acts.append(SetTimer(self.timer_at - now_ms, 0))
@@ -119,8 +122,8 @@
         if event.kind is not ListKind.CACHED:
             self.ask_fails, self.ask_at = 0, None
         ready = {entry.id: entry for entry in event.entries if entry.listing is Listing.READY}
-        named = {entry.id for entry in event.entries} if event.kind is ListKind.CHANGES else set(self.doors)
-        for ident in sorted(named & set(self.doors)):
+        named = [entry.id for entry in event.entries] if event.kind is ListKind.CHANGES else list(self.doors)
+        for ident in sorted({ident for ident in named if ident in self.doors}):
             if ident not in ready or self._lane_key(ready[ident]) != self._lane_key(self.doors[ident].entry):
                 self._drop(now, self.doors.pop(ident))
         for entry in ready.values():
@@ -129,12 +132,15 @@
     def _drop(self, now: float, door: Door) -> None:
         """Nothing new goes to an endpoint that drains or is gone; a lane goes with its last trace."""
         del door.lane.doors[door.entry.id]
-        if not door.lane.doors and door.lane.bad_since is None:
-            door.lane.bad_since = now
-        for dest in [d for d in self.lanes if d not in self.board.queues and d != door.entry.destination]:
-            self.lanes[dest] = {k: lane for k, lane in self.lanes[dest].items() if lane.doors or lane.out
-                                or now <= max(lane.wait_until, (lane.bad_since or 0.0) + FADE_MS)}
-        self.lanes = {dest: lanes for dest, lanes in self.lanes.items() if lanes}
+        self.ejections.drop(door)
+        if not door.lane.doors:
+            door.lane.bad_since = now if door.lane.bad_since is None else door.lane.bad_since
+            self.bare.add(door.entry.destination)
+        for dest in [d for d in self.bare if d not in self.board.queues and d != door.entry.destination]:
+            known = {key: lane for key, lane in self.lanes.pop(dest).items() if not forgotten(lane, now)}
+            self.lanes.update({dest: known} if known else {})
+            if all(lane.doors for lane in known.values()):
+                self.bare.discard(dest)
 
     def _add(self, now: float, entry: Endpoint) -> None:
         dest, key = self._lane_key(entry)
@@ -153,6 +159,7 @@
             if not lane.doors and lane.bad_since is not None:  # replaced late: the new endpoint is cold
                 self._cold(now, lane)
             self.doors[entry.id] = lane.doors[entry.id] = Door(entry, lane)
+            self.ejections.see(now, lane)
             self.board.look(dest)
         else:
             door.entry = entry
@@ -170,12 +177,7 @@
         since = now + msg.left_ms - cls.deadline_ms if old else now - (msg.age_ms or 0.0)
         held = Held(msg, cls, since, now + msg.left_ms, cls.worth, now, msg.tries)
         held.risk, held.first_risk = msg.risk, None if msg.risk_age_ms is None else now - msg.risk_age_ms
-        if msg.tenant < len(self.shares) and msg.age_ms is None:  # resumed ones would seem a surge
-            left, at = self.shares[msg.tenant]
-            quota = self.s.tenants[msg.tenant].quota_per_s / self.s.relays
-            left = min(2 * quota, left + quota * (now - at) / 1000)
-            held.worth *= 1.0 if left >= 1 else self.s.over_share_worth
-            self.shares[msg.tenant] = left - (left >= 1), now
+        held.worth *= 1.0 if msg.age_ms is not None else self.quotas.share(now, msg.tenant)  # no surge
         self.board.add(held)
         self._wait(held)
 
@@ -319,6 +321,7 @@
             self._reported(now, door, *(event.report[n] for n in self.s.limit_report))
         self.board.kinds[door.entry.kind].seen(event.outcome, event.wait_ms, event.kept)
         call.taught.add(event.outcome)
+        self.ejections.ended(now, self._lane_key(door.entry), door.lane)
         if event.finished or held.withdrawn:
             self.board.remove(held)
         else:
@@ -482,7 +485,7 @@
     def _dispatch(self, now: float, acts: list[Action]) -> None:
         """Sends what has most worth per slot time while there are slots; reads only queues that are due."""
         picks: dict[int, Choice] = {}
-        due = [dest for dest, at in self.board.look_at.items() if at <= now]
+        due = self.board.agenda.come(now)
         while self.mode is Mode.CALLS and self.busy + sum(self.elsewhere.values()) < self.s.slots:
             found = {dest: self._pick(now, dest) for dest in due if dest in self.board.queues}
             picks.update({dest: choice for dest, choice in found.items() if choice is not None})
@@ -540,7 +543,7 @@
                     best, first = (worth / cost, *choice[1:]), draw
             elif able and any(door.joins_at == now for door in lane.doors.values()):
                 look = min(look, now + self.s.tick_ms)
-        self.board.look_at[dest] = look if best is None else 0.0
+        self.board.agenda.put(dest, look if best is None else 0.0)
         return best
 
     def _give_up(self, now: float, held: Held, lane: Lane, size: int) -> float:
@@ -569,6 +572,7 @@
             lane.out[held.msg.id] = held
             acts.append(Send(held.msg.id, door.entry.id, until, keep))
         door.out += 1
+        self.ejections.calling[self._lane_key(door.entry)] = lane
         lane.sent(now)
         lane.credit -= 1 + FURTHER * (len(crew) - 1) if now < lane.cold_since + self.s.safety.cold_ms else 1
         self.busy += 1
@@ -582,25 +586,20 @@
                 acts.append(HandOver(held.msg.id))
                 self.board.remove(held)
 
-    def _learn(self, event: Learned) -> None:
+    def _learn(self, now: float, event: Learned) -> None:
         """Who makes the calls knows better: what still ends at the other are its slowest and failing ones."""
         if (lane := self.lanes.get(event.destination, {}).get(event.endpoint)) is None:
             self.learned[event.destination, event.endpoint] = event
         else:
             lane.take(event.figures, self.mode is not Mode.CALLS)
+            self.ejections.see(now, lane)
             self.board.look(event.destination)
 
     def known(self, dests: set[int] | None = None) -> list[Learned]:
         """What the other process needs to know of these destinations, or of all."""
-        return [Learned(dest, key, lane.told()) for dest, lanes in self.lanes.items()
-                if dests is None or dest in dests for key, lane in lanes.items()]
+        return [Learned(dest, key, lane.told()) for dest in (self.lanes if dests is None else sorted(dests))
+                for key, lane in self.lanes.get(dest, {}).items()]
 
     def calls_out(self) -> dict[int, int]:
-        return {d: n for d, lanes in self.lanes.items() if (n := sum(lane.calls for lane in lanes.values()))}
-
-    # -- what operators see ------------------------------------------------------------------------------
-
-    def avoided(self, now: float) -> set[int]:
-        """The listed endpoints to which nothing goes but what asks whether they are back, or that go last."""
-        return {ident for ident, door in self.doors.items()
-                if suspect(door.lane, now) or any(now - at < FADE_MS for at in door.faults.values())}
+        dests = {dest for dest, _ in self.ejections.calling}
+        return {dest: sum(lane.calls for lane in self.lanes[dest].values()) for dest in dests}
--- a/linnetstile/health.py
+++ b/linnetstile/health.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from .state import Door, Lane
+import heapq
+
+from .state import NEVER, Door, Lane
 
 FADE_MS = 10000.0  # older evidence counts no more: an answer or a failure of so long ago
 OVERDUE = 4.0  # an answer is overdue so many mean deviations above the mean
@@ -25,3 +27,59 @@
     overdue = now - lane.takes(OVERDUE)
     late = [held.out for held in lane.out.values() if held.out and lane.last_ok <= held.out_since < overdue]
     return bool(late) and {door.entry.id for door in late}.issuperset(lane.doors)
+
+
+def forgotten(lane: Lane, now: float) -> bool:
+    """Nothing is listed or out there, and what was seen of it tells nothing any more."""
+    return not (lane.doors or lane.out or now <= max(lane.wait_until, (lane.bad_since or 0.0) + FADE_MS))
+
+
+class Ejections:
+    """Which listed endpoints are ejected: those to which nothing goes but what asks whether they are back, or
+    that go last. Kept up as evidence comes, so that asking costs what has changed and not what is listed."""
+
+    def __init__(self) -> None:
+        self.ids: set[int] = set()  # in a destination that is out, or with a failure that has not faded
+        self.calling: dict[tuple[int, int], Lane] = {}  # those with calls out, whose answers may be overdue
+        self.fades: list[tuple[float, int]] = []  # heap: when an endpoint is looked at again
+        self.fading: dict[int, tuple[float, Door]] = {}  # endpoint -> its place there
+
+    def see(self, now: float, lane: Lane) -> None:
+        """Called whenever what speaks for or against a destination or its endpoints has changed."""
+        for ident, door in lane.doors.items():
+            until = max(door.faults.values(), default=NEVER) + FADE_MS
+            if lane.sick or now < until:
+                self.ids.add(ident)
+            else:
+                self.ids.discard(ident)
+            if now < until and (ident not in self.fading or until < self.fading[ident][0]):
+                self.fading[ident] = until, door
+                heapq.heappush(self.fades, (until, ident))
+
+    def ended(self, now: float, key: tuple[int, int], lane: Lane) -> None:
+        """An attempt there has an outcome."""
+        self.see(now, lane)
+        if not lane.out:
+            self.calling.pop(key, None)
+
+    def drop(self, door: Door) -> None:
+        self.ids.discard(door.entry.id)
+        self.fading.pop(door.entry.id, None)
+
+    def ejected(self, now: float) -> set[int]:
+        return self._settled(now) | self._overdue(now)
+
+    def count(self, now: float) -> int:
+        """How many these are, without making them up."""
+        return len(self._settled(now)) + len(self._overdue(now))
+
+    def _settled(self, now: float) -> set[int]:
+        while self.fades and self.fades[0][0] <= now:
+            until, ident = heapq.heappop(self.fades)
+            if self.fading.get(ident, (None,))[0] == until:
+                self.see(now, self.fading.pop(ident)[1].lane)
+        return self.ids
+
+    def _overdue(self, now: float) -> set[int]:
+        late = [lane for lane in self.calling.values() if not lane.sick and suspect(lane, now)]
+        return {ident for lane in late for ident in lane.doors} - self.ids
--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -48,6 +48,8 @@
         self.kinds, self.zones = kinds, zones
         self.by_name: dict[str, Known] = {}
         self.by_number: dict[int, Known] = {}
+        self.dests: dict[int, int] = {}  # destination -> how many endpoints of it are listed
+        self.left: set[int] = set()  # those that lost their last one, until somebody asks
         self.version = -1
         self.numbers = 0
 
@@ -73,18 +75,34 @@
             raise ValueError(f"malformed list: {error!r}") from error
         found = [known for known in map(self._readable, items) if known is not None]
         if whole:
+            self.left.update(self.dests)
             self.by_name.clear()
             self.by_number.clear()
+            self.dests.clear()
         for known in found:
-            if known.entry.listing is Listing.GONE:
-                self.by_name.pop(known.name, None)
-                self.by_number.pop(known.entry.id, None)
-            else:
+            self._lose(known.name)
+            if known.entry.listing is not Listing.GONE:
                 self.by_name[known.name] = self.by_number[known.entry.id] = known
+                self.dests[known.entry.destination] = self.dests.get(known.entry.destination, 0) + 1
         self.version = version
         kind = ListKind.WHOLE if whole else ListKind.CHANGES
         return EndpointList(kind, tuple(known.entry for known in found))
 
+    def _lose(self, name: str) -> None:
+        known = self.by_name.pop(name, None)
+        if known is not None:
+            del self.by_number[known.entry.id]
+            dest = known.entry.destination
+            self.dests[dest] -= 1
+            if not self.dests[dest]:
+                del self.dests[dest]
+                self.left.add(dest)
+
+    def lost(self) -> set[int]:
+        """The destinations that have lost their last endpoint since this was last asked."""
+        lost, self.left = self.left - self.dests.keys(), set()
+        return lost
+
     def _readable(self, item: Any) -> Known | None:
         """Guards the others against one entry that cannot be read: where its endpoint is known already, that
         stands, but for what it says of its life."""
--- a/linnetstile/net/egress.py
+++ b/linnetstile/net/egress.py
@@ -171,7 +171,7 @@
         self.connect_s = connect_timeout_ms / 1000 or None
         self.most_idle = most_idle
         self.idle: dict[Key, list[Link]] = {}
-        self.listed: set[Key] | None = None  # None: not told yet
+        self.listed: Callable[[Key], bool] = lambda key: True
         self.ending: dict[Link, None] = {}  # answered, but their bodies have not come; oldest first
         self.most_ending = most_ending
         self.broke_at = -WARY_S  # when a connection that was kept broke before its call was answered
@@ -292,10 +292,11 @@
             return HOLD_S
         return 0.0 if sum(len(call.body) for call in calls) > AT_ONCE_BYTES else None
 
-    def keep_only(self, listed: set[Key]) -> None:
-        """Closes the idle connections to endpoints that drain, are gone or have moved."""
+    def keep_only(self, listed: Callable[[Key], bool]) -> None:
+        """Closes the idle connections to endpoints that drain, are gone or have moved; asked anew of each
+        connection that is to be kept from here on."""
         self.listed = listed
-        for key in set(self.idle) - listed:
+        for key in [key for key in self.idle if not listed(key)]:
             for link in self.idle.pop(key):
                 link.close()
 
@@ -336,7 +337,7 @@
             return await Link.open(address, BODY_BYTES)
 
     def _keep(self, key: Key, link: Link) -> None:
-        if not link.usable or self.listed is not None and key not in self.listed:
+        if not link.usable or not self.listed(key):
             link.close()
             return
         if sum(map(len, self.idle.values())) >= self.most_idle:
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -13,7 +13,7 @@
 from .. import interface as api
 from ..control import Relay
 from .agent import Agent
-from .config import Config
+from .config import Address, Config
 from .discovery import Directory, Watch
 from .egress import Answer, Call, Egress, line_of
 from .figures import Figures
@@ -70,7 +70,7 @@
         self.ingress.bind(*config.listen)  # before the journal: nothing is touched if another has the address
         self.journal = Journal(config.state, config.disk_bytes)
         self.directory = Directory.of(config.settings, config.zones)
-        self.dests: dict[int, float] = {}  # each destination listed of late, and until when it is known
+        self.dests: dict[int, float] = {}  # destinations that are known though none is listed: until when
         self.egress = Egress(config.settings.idle_ms, config.settings.connect_timeout_ms, 1, 1,
                              config.settings.report_fields, self._written)
         self.figures = Figures(self.classes)
@@ -191,7 +191,7 @@
                 timer.cancel()
         await self.tasks.cancel()
         self.ingress.hang_up()
-        self.egress.keep_only(set())
+        self.egress.keep_only(lambda key: False)
         self.watch.agent.close()
         self.notices.close()
         self.journal.close()
@@ -223,7 +223,7 @@
         while True:
             try:
                 gauges["pool_size"] = len(self.directory.by_number)
-                gauges["pool_ejected"] = len(self.relay.avoided(self.now()))
+                gauges["pool_ejected"] = self.relay.ejections.count(self.now())
             except Exception:
                 log.exception("the pool's figures could not be read")
             await asyncio.sleep(LOOK_AT_POOL_S)
@@ -317,7 +317,7 @@
             await asyncio.sleep(SWEEP_S)
             try:
                 self.egress.sweep()
-                self._know_dests({known.entry.destination for known in self.directory.by_number.values()})
+                self._know_dests()
                 self._tell_state()
                 self.journal.tidy(unix_ms())
             except Exception:
@@ -333,11 +333,11 @@
             lanes = [str(lane) for lane in self.relay.lanes.get(dest, {}).values()]
             log.info("%d wait for %d: %s", len(queue), dest, "; ".join(lanes))
 
-    def _know_dests(self, listed: set[int]) -> None:
+    def _know_dests(self) -> None:
         """One whose endpoints are all being replaced is still known; one long gone is forgotten."""
         now = self.now()
         self.dests = {dest: until for dest, until in self.dests.items() if until > now}
-        self.dests.update(dict.fromkeys(listed, now + DEST_MS))
+        self.dests.update(dict.fromkeys(self.directory.lost(), now + DEST_MS))
 
     # -- the module's turn -------------------------------------------------------------------------------
 
@@ -414,14 +414,18 @@
         self.listed(event)
 
     def listed(self, event: api.EndpointList) -> None:
-        self._know_dests({entry.destination for entry in event.entries})
+        self._know_dests()
         self._keep_links()
         self._feed(event)
 
     def _keep_links(self) -> None:
-        known = [] if self.linked is api.Mode.HANDS_OVER else self.directory.by_number.values()
-        self.egress.keep_only({(each.entry.id, each.address) for each in known
-                               if each.entry.listing is api.Listing.READY})
+        self.egress.keep_only(self._is_listed)
+
+    def _is_listed(self, key: tuple[int, Address]) -> bool:
+        """Whether this process may go on with a connection to that endpoint."""
+        known = self.directory.by_number.get(key[0])
+        return (self.linked is not api.Mode.HANDS_OVER and known is not None and known.address == key[1]
+                and known.entry.listing is api.Listing.READY)
 
     # -- messages ----------------------------------------------------------------------------------------
 
@@ -481,7 +485,7 @@
         for part in text.replace(",", ";").split(";"):
             name, _, value = part.strip().partition("=")
             if name == "dest" and value.isascii() and value.isdecimal() and len(value) < 10:
-                if int(value) in self.dests:
+                if int(value) in self.directory.dests or int(value) in self.dests:
                     return int(value)
                 raise Malformed(f"X-Addressing: destination {value} is not known")
         raise Malformed("X-Addressing: dest=NUMBER is needed")
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections import defaultdict
 from collections.abc import Callable
@@ -211,13 +212,56 @@
 }
 
 
+class Agenda:
+    """When each queue is looked at next: a heap, so that a turn costs what is due and not what waits. What is
+    due stays so until it is given another time."""
+
+    def __init__(self) -> None:
+        self.at: dict[int, float] = {}  # destination -> its time
+        self.order: dict[int, int] = {}  # destination -> its place among those that are due at once
+        self.due: set[int] = set()  # their time has come
+        self.heap: list[tuple[float, int]] = []  # the others, with what has been given another time since
+        self.places = 0
+
+    def put(self, dest: int, at: float) -> None:
+        if self.at.get(dest) == at:
+            return
+        if dest not in self.at:
+            self.places += 1
+            self.order[dest] = self.places
+        self.at[dest] = at
+        self.due.discard(dest)
+        heapq.heappush(self.heap, (at, dest))
+
+    def drop(self, dest: int) -> None:
+        if self.at.pop(dest, None) is not None:
+            del self.order[dest]
+            self.due.discard(dest)
+
+    def come(self, now: float) -> list[int]:
+        """All whose time has come, in the order in which their queues began."""
+        self._settle(now)
+        return sorted(self.due, key=self.order.__getitem__)
+
+    def next_at(self, now: float) -> float | None:
+        """The first time that has not come yet."""
+        self._settle(now)
+        return self.heap[0][0] if self.heap else None
+
+    def _settle(self, now: float) -> None:
+        while self.heap and (self.heap[0][0] <= now or self.at.get(self.heap[0][1]) != self.heap[0][0]):
+            at, dest = heapq.heappop(self.heap)
+            if self.at.get(dest) == at:
+                self.due.add(dest)
+
+
 class Board:
     """The messages held: by id, those that wait by destination, and those in order by key."""
 
     def __init__(self) -> None:
         self.held: dict[int, Held] = {}
         self.queues: dict[int, dict[int, Held]] = {}
-        self.look_at: dict[int, float] = {}  # destination -> when its queue is looked at again
+        self.agenda = Agenda()
         self.lines: dict[int, list[int]] = {}
         self.kinds: dict[int, Kind] = defaultdict(Kind)
 
@@ -228,14 +272,14 @@
 
     def queue(self, held: Held) -> None:
         self.queues.setdefault(held.msg.destination, {})[held.msg.id] = held
-        self.look_at[held.msg.destination] = 0.0
+        self.look(held.msg.destination)
 
     def unqueue(self, held: Held) -> None:
         queue = self.queues.get(held.msg.destination, {})
         queue.pop(held.msg.id, None)
         if not queue:
             self.queues.pop(held.msg.destination, None)
-            self.look_at.pop(held.msg.destination, None)
+            self.agenda.drop(held.msg.destination)
 
     def remove(self, held: Held) -> None:
         del self.held[held.msg.id]
@@ -253,4 +297,4 @@
 
     def look(self, dest: int) -> None:
         if dest in self.queues:
-            self.look_at[dest] = 0.0
+            self.agenda.put(dest, 0.0)
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -274,7 +274,7 @@
         server.script += [OK, b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\na"]
         await asyncio.gather(*(calls.call(call(server.address)) for _ in range(2)))
         assert (await calls.call(call(server.address, endpoint=2))).outcome is Outcome.OK
-        calls.keep_only({(2, server.address)})
+        calls.keep_only({(2, server.address)}.__contains__)
         server.writers[1].write(b"a")
         await until(lambda: all(reader.at_eof() or reader.exception() is not None
                                 for reader in server.readers[:2]))
@@ -440,7 +440,7 @@
         for server in (kept, left):
             assert (await calls.call(call(server.address))).outcome is Outcome.OK
         (link,) = calls.idle[1, left.address]
-        calls.keep_only({(1, kept.address)})
+        calls.keep_only({(1, kept.address)}.__contains__)
         assert set(calls.idle) == {(1, kept.address)} and not link.usable
     run(work())
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -316,18 +316,18 @@
                     await until(lambda: not host.held)
             await until(lambda: not host.ingress.connections and not host.relay.board.held)
             host.journal.tidy(unix_ms() + 1e6)
-            host._know_dests({39})
+            host._know_dests()
             directory, ingress, relay_ = host.directory, host.ingress, host.relay
             sizes: dict[str, Sized] = {
                 "held": host.held, "numbers": host.numbers, "entries": host.journal.entries,
                 "sizes": host.journal.sizes, "silent": ingress.silent, "resting": ingress.resting,
                 "visiting": ingress.visiting,
-                "lingering": ingress.lingering, "queues": relay_.board.queues, "look": relay_.board.look_at,
+                "lingering": ingress.lingering, "queues": relay_.board.queues, "look": relay_.board.agenda.at,
                 "lines": relay_.board.lines, "rest": relay_.key_rest, "ending": host.egress.ending,
                 "notices": host.notices.waiting, "events": host.events}
             assert {name: len(what) for name, what in sizes.items() if len(what)} == {}
             assert len(directory.by_name) == len(directory.by_number) == len(host.egress.idle) == 1
-            assert list(host.dests) == [39] and len(relay_.doors) == 1
+            assert list(host.dests) == [] and list(directory.dests) == [39] and len(relay_.doors) == 1
             assert len(relay_.lanes) == 38  # what they have learned fades in 10 s, and then goes
             relay_.handle(host.now() + 60_000.0, [])
             relay_._drop(host.now() + 60_000.0, relay_.doors.pop(next(iter(relay_.doors))))
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -217,12 +217,12 @@
     driver = Driver()
     driver.listed((1, 1), (2, 2))
     driver.warm_up(1)
-    assert driver.relay.avoided(driver.now) == set()
+    assert driver.relay.ejections.ejected(driver.now) == set()
     for _ in range(2):
         ident = driver.message(SAFE, 2)
         driver.pass_time(1000)
         driver.answer(ident, api.Outcome.CONNECT_FAILED)
-        assert driver.relay.avoided(driver.now) == {2}
+        assert driver.relay.ejections.ejected(driver.now) == {2}
 
 
 def test_a_drain_sends_clients_away_and_a_resume_takes_them_back(
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -111,7 +111,7 @@
     assert new.relay.lanes[2][-1].told() == lane.told() and new.relay.lanes[2][-1].sick
     mine, theirs = new.relay.lanes[1][-1], old.relay.lanes[1][-1]
     assert (mine.wait_until, mine.pace, mine.mean) == (theirs.wait_until, theirs.pace, theirs.mean)
-    assert new.relay.avoided(new.now) == {2}
+    assert new.relay.ejections.ejected(new.now) == {2}
 
 
 def test_a_wait_told_to_either_holds_but_the_callers_own_view_of_health_stands() -> None:
