Call discovery again so soon that news arrives within 6 s of its return

A change counts as told 6 s after discovery could be reached, whatever was allowed after a failed call. A large fleet's pause grew to 5 s times 0.1 to 1.9, and a call may wait 2 s more: up to 11.5 s.

A relay of a large fleet now begins a call every P = 3.85 s while calls fail: the first pause is spread over all of P, since the fleet's calls fail together, the later ones keep the place. What the failed call took counts against P. N relays then come evenly over P, and are heard within 2 s by a discovery that works off N / (P + 2) calls a second. First calls of processes are spread by at most P as well. Fleets of up to four keep their pauses, pushed lists too.

--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from ..interface import Endpoint, EndpointList, Listing, ListKind, Settings
-from .agent import Agent, AgentError, Backoff, Silent
+from .agent import Agent, AgentError, Backoff, Rounds, Silent
 from .config import Address, address
 
 log = logging.getLogger(__name__)
@@ -25,9 +25,12 @@
 AGAIN_S = 0.7  # a fleet whose watches all fell silent does not come back as one
 # Beginning a watch is work that discovery does for one relay after the other, also for those it kept waiting
 # too long: a fleet's first calls, and those after a failure that all meet, are spread by so much a relay.
-SPREAD_S, SPREAD_MOST_S = 0.12, 5.0
+# A change counts as told 6 s after discovery could be reached, whatever failed before. So a call follows P
+# at the latest after the one that failed began: P + 2 s of waiting + the call's own time fit into 6 s.
+# N relays that come evenly over P are heard within 2 s if discovery works off N / (P + 2) calls a second.
+SPREAD_S, SPREAD_MOST_S = 0.12, 3.85  # the latter is P
 SOON_S = 2.0  # the most after a change of process or agent: news counts as told within 4 s of either
-FIRST_S, MOST_S = 0.05, 0.5  # pauses of a small fleet after a failed call: they grow from one to the other
+FIRST_S, MOST_S = 0.05, 0.5  # pauses of a fleet of few after a failed call: they grow from one to the other
 PUSHED_S = 0.05  # and where the agent pushes lists: what it has counts as told without being asked for
 LISTINGS = {"ready": Listing.READY, "gone": Listing.GONE}  # whatever else gets nothing new
 
@@ -142,7 +145,8 @@
             self.spread_s, self.backoff = 0.0, Backoff(PUSHED_S, PUSHED_S)
         else:
             self.spread_s = min(SPREAD_MOST_S, SPREAD_S * relays)
-            self.backoff = Backoff(max(FIRST_S, self.spread_s / 2), max(MOST_S, self.spread_s))
+            few = self.spread_s <= MOST_S
+            self.backoff = Backoff(FIRST_S, MOST_S) if few else Rounds(self.spread_s, SPREAD_MOST_S)
 
     def hurry(self) -> None:
         """From here on news counts as told soon, whether it has come or not."""
@@ -165,18 +169,23 @@
                 self.backoff.reset()  # and at once again: a late call would begin a new watch
                 self.goes_on = version >= 0
             except (AgentError, ValueError) as error:
-                log.warning("discovery: %s, after %.0f ms", error,
-                            1000 * (asyncio.get_running_loop().time() - asked))
+                took_s = asyncio.get_running_loop().time() - asked
+                log.warning("discovery: %s, after %.0f ms", error, 1000 * took_s)
                 self.agent.close()
-                self.goes_on = False
-                if isinstance(error, Silent):  # a watch that has broken, not a call that was turned away
-                    await asyncio.sleep(random.uniform(0.0, min(AGAIN_S, self.spread_s)))
-                else:
-                    await self.backoff.pause()
+                await self._pause(took_s, isinstance(error, Silent))
             except Exception:
                 log.exception("discovery: a list could not be taken")
-                self.goes_on = False
-                await self.backoff.pause()
+                await self._pause(asyncio.get_running_loop().time() - asked, silent=False)
+
+    async def _pause(self, took_s: float, silent: bool) -> None:
+        """After a failed call that took so long. What a watch waits for news is no part of that."""
+        went_on, self.goes_on = self.goes_on, False
+        if not silent:
+            await self.backoff.pause(0.0 if went_on else took_s)
+        elif went_on or self.spread_s <= MOST_S:
+            await asyncio.sleep(random.uniform(0.0, min(AGAIN_S, self.spread_s)))
+        else:  # broken, not turned away: it keeps its place in the round, or gets one
+            await asyncio.sleep(self.backoff.wait_s(took_s))
 
     async def _ask(self) -> dict[str, Any]:
         target, seconds = "/v1/servers", SILENT_S
