Bound the connections that are accepted and not yet kept or shut

Such connections were in nobody's share.

Now at most 16 beyond the bound for clients are open at any time, and the shares leave room for them; the listener waits without turning the loop until one descriptor is free.

The sum in the test of two processes now counts the newcomers too: it is stricter by 16 for each process.

--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -17,7 +17,7 @@
 from .discovery import Directory, Watch
 from .egress import Answer, Call, Egress, line_of
 from .figures import Figures
-from .ingress import Ingress, Reply, Request
+from .ingress import ACCEPTS, Ingress, Reply, Request
 from .journal import Entry, Journal, JournalError
 from .management import SOCKETS as DOOR_SOCKETS
 from .management import Answer as Told
@@ -275,7 +275,7 @@
         config, both = self.config, 1 + self.replacement.pair
         idle, ending = max(1, config.sockets // 8 // both), max(1, config.sockets // 16 // both)
         own = (OWN_SOCKETS + DOOR_SOCKETS) * both
-        clients = (config.sockets - own - config.settings.slots) // both - idle - ending
+        clients = (config.sockets - own - config.settings.slots) // both - idle - ending - ACCEPTS
         self.egress.most_idle, self.egress.most_ending = idle, ending
         if self.replacement.mode is not self.linked:  # the other's connections are to take the place of ours
             self.linked = self.replacement.mode
--- a/linnetstile/net/ingress.py
+++ b/linnetstile/net/ingress.py
@@ -19,7 +19,7 @@
 BODY_BYTES = 64 * 1024
 HEAD_BYTES = 16 * 1024
 BACKLOG = 512  # connections that the system keeps for us: a flood must not push out those behind it
-ACCEPTS = 32  # connections that are accepted in one go
+ACCEPTS = 16  # connections beyond the bound, accepted and about to be kept or shut: each has a descriptor
 SILENT_S = 2.2  # a new connection may say nothing for so long: one on which no request is open is owed 2 s
 FIRST_S = 2.5  # from connecting until its first request is whole; an answer or an end is due within 3 s
 REQUEST_S = 2.0  # a later request takes no longer to come; its client gives up after 0.4 s
@@ -100,7 +100,7 @@
             transport.abort()  # nothing of it has been read: its client asks once more, on another
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.server.forget(self)
+        self.server.gone(self)
         # Guards against work for a client that never heard of it: it hands the message in again.
         for ident in self.unsent:
             self.server.withdraw(ident)
@@ -298,6 +298,7 @@
     def __init__(self, handle: Handler, withdraw: Withdraw, most: int, roomy: int) -> None:
         self.handle, self.withdraw, self.most = handle, withdraw, most
         self.roomy = roomy  # so many idle connections are few
+        self.open: set[ClientConnection] = set()  # all that have a descriptor
         self.connections: set[ClientConnection] = set()
         self.silent: dict[ClientConnection, None] = {}  # nothing has come on them; oldest first
         self.visiting: dict[ClientConnection, None] = {}  # between requests, none of them a message
@@ -305,6 +306,7 @@
         self.lingering: dict[ClientConnection, None] = {}  # answered for the last time
         self.listener: socket.socket | None = None
         self.port = 0
+        self.pausing = False  # nothing is accepted until a descriptor is free
         self.arriving: set[asyncio.Task[None]] = set()  # accepted, and not yet admitted
         self.away_by = float("inf")  # no idle connection is kept from then on
 
@@ -328,11 +330,15 @@
         asyncio.get_running_loop().add_reader(self.listener, self._accept)
 
     def _accept(self, most: int = ACCEPTS) -> None:
-        """Takes what is queued, so many at once: they hold descriptors before it is known who may stay."""
+        """Takes what is queued. Guards the descriptors that calls need: whoever is about to be shut holds one
+        as well, so what comes faster than that waits in the queue."""
         loop = asyncio.get_running_loop()
         for _ in range(most):
             if self.listener is None:
                 return
+            if len(self.open) >= self.most + ACCEPTS:
+                self._pause()
+                return
             try:
                 sock, _ = self.listener.accept()
             except (BlockingIOError, InterruptedError):
@@ -341,23 +347,32 @@
                 continue
             except OSError as error:  # no descriptor is left: the queue keeps those who wait
                 log.error("a connection cannot be accepted: %s", error)
-                loop.remove_reader(self.listener)
+                self._pause()
                 loop.call_later(SWEEP_S, self._accept_on)
                 return
             sock.setblocking(False)
-            task = loop.create_task(self._arrive(sock))
+            connection = ClientConnection(self)
+            self.open.add(connection)
+            task = loop.create_task(self._arrive(sock, connection))
             self.arriving.add(task)
             task.add_done_callback(self.arriving.discard)
 
+    def _pause(self) -> None:
+        assert self.listener is not None
+        self.pausing = True
+        asyncio.get_running_loop().remove_reader(self.listener)
+
     def _accept_on(self) -> None:
-        if self.listener is not None:
+        if self.listener is not None and self.pausing:
+            self.pausing = False
             asyncio.get_running_loop().add_reader(self.listener, self._accept)
 
-    async def _arrive(self, sock: socket.socket) -> None:
+    async def _arrive(self, sock: socket.socket, connection: ClientConnection) -> None:
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(lambda: ClientConnection(self), sock)
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: connection, sock)
         except OSError as error:
             sock.close()
+            self.gone(connection)
             log.warning("a connection ended as it came: %s", error)
 
     async def watch(self) -> None:
@@ -406,6 +421,13 @@
         self.most = most
         while len(self.connections) > most and self._make_room():
             pass
+        self._accept_on()
+
+    def gone(self, connection: ClientConnection) -> None:
+        """Its descriptor is free."""
+        self.forget(connection)
+        self.open.discard(connection)
+        self._accept_on()
 
     def forget(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -132,7 +132,7 @@
     """Discovery and outcomes: watches wait for `tell`, notices are kept in `notices`."""
 
     version: int = 1
-    changes: asyncio.Queue[bytes] = field(default_factory=asyncio.Queue)
+    changes: asyncio.Queue[bytes | str] = field(default_factory=asyncio.Queue)  # "reset" as in a script
     notices: asyncio.Queue[dict[str, Any]] = field(default_factory=asyncio.Queue)
 
     async def reply(self, seen: Seen) -> bytes | None | str:
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -19,6 +19,7 @@
 from linnetstile.net import journal as journal_module
 from linnetstile.net.discovery import Directory
 from linnetstile.net.host import Host
+from linnetstile.net.ingress import ACCEPTS, ClientConnection
 from linnetstile.net.journal import BLOCK, SLACK, Attempt, Entry, Journal
 from linnetstile.net.replacement import TAKES, Replacement
 
@@ -358,7 +359,7 @@
         ours, theirs = socket.socketpair()
         reader, writer = await asyncio.open_connection(sock=theirs)
         ours.setblocking(False)
-        await host.ingress._arrive(ours)
+        await host.ingress._arrive(ours, ClientConnection(host.ingress))
         writer.write(data)
         assert b" 202 " in await reader.readuntil(b"\r\n\r\n")
         writer.close()
@@ -453,7 +454,7 @@
     async def work() -> None:
         async with Pair(tmp_path) as pair:
             def total(*hosts: Host) -> int:
-                return sum(host.ingress.most + host.egress.most_idle + host.egress.most_ending + 38
+                return sum(host.ingress.most + ACCEPTS + host.egress.most_idle + host.egress.most_ending + 38
                            for host in hosts) + pair.old.settings.slots
             alone = pair.old.ingress.most
             assert total(pair.old) <= pair.old.config.sockets
