Set TCP_NODELAY on clients' connections and on those of the operators' door

Cause: asyncio sets TCP_NODELAY only on a socket whose protocol number is IPPROTO_TCP. The clients' listener was made with no protocol named, and `socket.create_server`, which makes the door's, names none; accepted sockets take the 0 over. Calls and the agent were not affected: `create_connection` names it. So a 202 behind another small write (the 100 that lets a body come) stayed with the system until the client's system had confirmed the first one, and went with the reset of a close over unread bytes.

Change: the clients' listener names its protocol; the door's connections are set one by one.

--- a/linnetstile/net/ingress.py
+++ b/linnetstile/net/ingress.py
@@ -313,7 +313,8 @@
     def bind(self, host: str, port: int) -> None:
         """OSError if the address is another's; a process of this relay's may share it."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
+        # With its protocol named, as accepted sockets take it over: asyncio sets TCP_NODELAY on no others.
+        listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         try:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
--- a/linnetstile/net/management.py
+++ b/linnetstile/net/management.py
@@ -52,6 +52,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        # asyncio does so itself only where the listener's protocol is named: `create_server` names none.
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.door.admit(self)
         # Guards the places of others against one that stalls: it gets an end, heard or not.
         self.timer = asyncio.get_running_loop().call_later(CALL_S, transport.abort)
