Shut down writing and read on after a connection's last answer, instead of closing at once

Cause: an answer that says "Connection: close" (a drain, a stop, too many idle connections) was followed by a close in the same turn, and `finish` closed those that were already read and dropped after a 4xx. Where more of the client's bytes had come by then, unread, the system answered them with a reset, which may take the answer along: the client never learns that its message was taken on, or why not.

Change: `_linger` (RFC 9112, section 9.6) ends our sending, reads and drops until the client ends the connection, and lets it go after 1 s (4 s after a 413). Each last answer ends in it, and a stop leaves those that are in it alone. What is read after the shutdown is never handled, so never taken on.

--- a/linnetstile/net/ingress.py
+++ b/linnetstile/net/ingress.py
@@ -142,7 +142,7 @@
         """Closes between requests, else with the answer to the one that has come. A new one gets its time to
         ask: its first request may be on its way, and would be turned back unheard."""
         self.last = True
-        if self.over or self.unheard and not self.fresh:
+        if self.unheard and not self.over and not self.fresh:
             self._close()
 
     def hang_up(self) -> None:
@@ -220,7 +220,7 @@
         self._answer(reply)
         self.request = None
         if self.last or http.our_state is not h11.DONE:
-            self._close()
+            self._linger(LINGER_S)
             return
         http.start_next_cycle()
         self.useful = self.useful or reply.status == 202
@@ -246,7 +246,14 @@
         self.request = None
         if self.http is not None and self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._answer(reply)
-        self.deadline = asyncio.get_running_loop().time() + (DISCARD_S if reply.status == 413 else LINGER_S)
+        self._linger(DISCARD_S if reply.status == 413 else LINGER_S)
+
+    def _linger(self, wait_s: float) -> None:
+        """Ends our sending; the client ends the connection, or `overdue` does after so many seconds. Until
+        then its bytes are read and dropped: a close over unread ones would reset the answer away (RFC 9112,
+        section 9.6), and none of them may be taken on any more."""
+        self.over = True
+        self.deadline = asyncio.get_running_loop().time() + wait_s
         self.server.lingers(self)
         if self.transport is not None and not self.transport.is_closing():
             with suppress(OSError):  # it has gone
