Ignore blank lines before and behind a client's request

Cause: h11 takes an empty line for a request line and fails, so the request behind it was answered with 400, which is final. A blank line left behind a body did the same to the next request on the connection, and made a resting connection look busy: a stop answered it with 503 though nothing had been asked. RFC 9112, section 2.2, wants a server to ignore at least one such line.

Change: what precedes a request is stripped of them, and what h11 keeps of them is dropped with it.

Measured: tests/test_forms.py sends one message in 13 forms, whole and then byte by byte (each byte read by itself), and a plain one after them on the same connection. Of its 14 tests 3 fail without the change ("no request line received"); the others are guards.

--- a/linnetstile/net/ingress.py
+++ b/linnetstile/net/ingress.py
@@ -119,7 +119,10 @@
             if self.discarded > DISCARD_BYTES:
                 self.abort()
             return
-        self._feed(data)
+        if self.idle:
+            data = data.lstrip(b"\r\n")  # blank lines before a request are no part of it (RFC 9112, 2.2)
+        if data:
+            self._feed(data)
 
     def eof_received(self) -> bool | None:
         if not self.over:
@@ -222,7 +225,10 @@
         if self.last or http.our_state is not h11.DONE:
             self._linger(LINGER_S)
             return
-        http.start_next_cycle()
+        if http.trailing_data[0]:
+            self.http = None  # the blank lines behind it, which h11 would read as a request line
+        else:
+            http.start_next_cycle()
         self.useful = self.useful or reply.status == 202
         self.deadline = asyncio.get_running_loop().time() + IDLE_S
         self.server.rests(self)
