Take a request whose target is in absolute form

Cause: the class was read from the first part of the whole target, so that of "POST http://origin.svc/safe" was "http:", and the message was answered with 400, which is final. RFC 9112, section 3.2.2, has a server accept this form in requests.

Change: the scheme and authority are left out where the request is read.

Measured: tests/test_forms.py, two more forms; both fail without the change.

--- a/linnetstile/net/ingress.py
+++ b/linnetstile/net/ingress.py
@@ -42,7 +42,7 @@
 @dataclass(slots=True)
 class Request:
     method: str
-    target: str
+    target: str  # in origin form: its path and query
     headers: dict[str, str]  # names in lower case
     body: bytearray = field(default_factory=bytearray)
 
@@ -74,6 +74,15 @@
     return None
 
 
+def origin_form(target: str) -> str:
+    """The path and query of a target, which a server has to take in absolute form too (RFC 9112, 3.2.2)."""
+    scheme, _, rest = target.partition("://")
+    if scheme.lower() != "http":
+        return target
+    _, slash, path = rest.partition("/")
+    return slash + path
+
+
 class ClientConnection(asyncio.Protocol):
     def __init__(self, server: Ingress) -> None:
         self.server = server
@@ -192,8 +201,8 @@
                 if (fault := fault_of(head)) is not None:
                     self._end(fault)
                     return False
-                self.request = Request(head.method.decode("ascii"), head.target.decode("latin-1"),
-                                       named(head.headers))
+                self.request = Request(head.method.decode("ascii"),
+                                       origin_form(head.target.decode("latin-1")), named(head.headers))
                 if http.they_are_waiting_for_100_continue:
                     self._send(h11.InformationalResponse(status_code=100, headers=[]))
             case h11.Data(data=chunk) if self.request is not None:
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -32,6 +32,8 @@
     "names in upper case": named_in("upper"),
     "a longer path": PLAIN.replace(LINE, b"POST /safe/a/b?c=d HTTP/1.1"),
     "a slash at the end": PLAIN.replace(LINE, b"POST /safe/ HTTP/1.1"),
+    "a target in absolute form": PLAIN.replace(LINE, b"POST http://origin.svc:80/safe?c=d HTTP/1.1"),
+    "its scheme in upper case": PLAIN.replace(LINE, b"POST HTTP://origin.svc/safe HTTP/1.1"),
     "no blanks before values": PLAIN.replace(b": ", b":"),
     "many blanks about values": PLAIN.replace(b": ", b": \t ").replace(b"\r\nX-", b" \t\r\nX-"),
     "more in the address": PLAIN.replace(b"dest=7", b"zone=a; dest=7;shard=x"),
