Drop blank lines that reach past a read's first part

Change: what is left then is known to be blank, and dropped. Measured: the case added to tests/test_floods.py fails without the change.

--- a/linnetstile/net/ingress.py
+++ b/linnetstile/net/ingress.py
@@ -191,7 +191,7 @@
             first, self.unfed = data[: HEAD_BYTES + 1], data[HEAD_BYTES + 1 :]
             self._parse(self.http, first)
             rest, self.unfed = self.unfed, b""
-            if rest and not self.over:
+            if rest and not self.over and not self.idle:  # else it is nothing but blank lines
                 self._parse(self.http, rest)
         except h11.RemoteProtocolError as error:
             self._end(Reply(error.error_status_hint, str(error)))
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -59,6 +59,8 @@
         body = b"x" * ingress.BODY_BYTES
         world = World(tmp_path)
         async with world as host, Client(host.ingress.port) as client:
+            assert await client.ask(message("l") + b"\r\n" * 9000) == 202
+            assert (await world.server.came.get()).body == b"hello"
             assert await client.ask(message("m", body=body)) == 202
             assert (await world.server.came.get()).body == body
             assert await client.ask(message("n", body=body[:12_000]) + b"\r\n" + message("o") * 99) == 400
