Drop a client's parser with its last answer, so that a flood leaves nothing behind

Cause: a connection that has been answered for the last time kept its parser, with what had been read and not parsed, up to 256 KiB, for as long as its client lingers. Change: `_linger` drops it; what comes later never reaches a parser. Measured: 8 peers send 64 to 240 KB each of four sorts of nonsense at once, all of it unread before the first of it is read, with a usual client's request behind it. The 4 cases in tests/test_floods.py fail without it.

--- a/linnetstile/net/ingress.py
+++ b/linnetstile/net/ingress.py
@@ -281,6 +281,7 @@
         then its bytes are read and dropped: a close over unread ones would reset the answer away (RFC 9112,
         section 9.6), and none of them may be taken on any more."""
         self.over = True
+        self.http, self.unfed = None, b""  # with up to a whole read each, of which nothing is needed any more
         self.deadline = asyncio.get_running_loop().time() + wait_s
         self.server.lingers(self)
         if self.transport is not None and not self.transport.is_closing():
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import gc
+import socket
+import tracemalloc
+from collections import Counter
+from contextlib import ExitStack
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -10,11 +15,12 @@
 
 from linnetstile.net import ingress
 
-from .loopback import Client, message, run
+from .loopback import Client, message, run, until
 from .test_clients import World
 
 MANY = b"".join(b"a%x:\r\n" % number for number in range(12_000))  # 80 KB of headers
 TINY = 2 * ingress.PIECES
+PEERS = 8
 
 
 class Name(bytes):
@@ -66,3 +72,58 @@
             assert await client.ask(message("n", body=body[:12_000]) + b"\r\n" + message("o") * 99) == 400
             assert "n" not in host.journal.entries
     run(work())
+
+
+def connected(stack: ExitStack, port: int, count: int) -> list[socket.socket]:
+    return [stack.enter_context(socket.create_connection(("127.0.0.1", port))) for _ in range(count)]
+
+
+CHUNKS = (message("bad").replace(b"Content-Length: 5", b"Transfer-Encoding: chunked")[:-5]
+          + b"1\r\nx\r\n" * 40_000)
+FLOOD = {
+    "no HTTP": b"\x16\x03\x01\x02\x00" * 13_107, "one long head": b"GET /" + b"a" * 65_531,
+    "many requests": b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n" * 500, "chunks": CHUNKS,
+}
+
+
+@pytest.mark.parametrize("sort", FLOOD)
+def test_a_usual_request_is_answered_amid_a_flood_that_stands_ready(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sort: str
+) -> None:
+    """All of it lies unread before the first of it is read, and the usual client's request lies behind it."""
+    reads = Counter[ingress.ClientConnection]()
+    at_answer: list[int] = []
+    received, handle = ingress.ClientConnection.data_received, ingress.ClientConnection._handled
+
+    def count(self: ingress.ClientConnection, data: bytes) -> None:
+        reads[self] += 1
+        received(self, data)
+
+    def hook(self: ingress.ClientConnection, request: ingress.Request) -> ingress.Reply:
+        if request.headers.get("x-trace-id") == "m":
+            at_answer.append(max(reads.values()))
+        return handle(self, request)
+
+    monkeypatch.setattr(ingress.ClientConnection, "data_received", count)
+    monkeypatch.setattr(ingress.ClientConnection, "_handled", hook)
+
+    async def work() -> None:
+        async with World(tmp_path) as host, Client(host.ingress.port) as usual:
+            with ExitStack() as stack:
+                flood = connected(stack, host.ingress.port, PEERS)
+                await until(lambda: len(host.ingress.connections) == PEERS + 1)
+                tracemalloc.start()
+                for sock in flood:
+                    sock.setblocking(False)
+                    sock.send(FLOOD[sort])
+                assert await usual.ask(message("m")) == 202
+                assert at_answer == [1]  # none of the flood was read twice before it
+                await until(lambda: len(host.ingress.lingering) == PEERS)
+                gc.collect()  # what is left is kept
+                assert tracemalloc.get_traced_memory()[0] < PEERS * ingress.HEAD_BYTES
+                tracemalloc.stop()
+                for sock in flood:
+                    assert sock.recv(12) in (b"HTTP/1.1 400", b"HTTP/1.1 431")
+            await until(lambda: len(host.ingress.connections) == 1)  # they have gone
+            assert list(host.journal.entries) == ["m"]
+    run(work())
