Reset a client that never reads its answers when its time is up

Cause: a connection whose answer the system does not take was closed as any other, and a close waits until all is written: its descriptor was kept for as long as its client stayed, beyond the bound on clients if it had been chosen to make way, and so was its last message, whose answer had not gone out. If the client had sent more, it was not even closed, as what lies unread counts as heard. Change: `overdue` and `make_way` reset such a connection. Its message is withdrawn, as it was before when such a client left. Measured: tests/test_floods.py has a client that asks and never reads, until an answer is stuck on real sockets; both cases fail without the change (the descriptor is still open three turns later).

--- a/linnetstile/net/ingress.py
+++ b/linnetstile/net/ingress.py
@@ -170,8 +170,13 @@
         elif not self.idle:
             self._end(Reply(503, "this relay ends", retry_s=RETRY_S))
 
+    @property
+    def stuck(self) -> bool:
+        """An answer is not fully written yet: its client does not read."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def overdue(self) -> None:
-        if self.over:
+        if self.over or self.stuck:  # a close would wait for its client to read
             self.abort()
         elif self.unheard:
             self._close()
@@ -304,7 +309,7 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             self.server.withdraw(ident)
-        elif transport.get_write_buffer_size():
+        elif self.stuck:
             self.unsent.append(ident)
 
     def _send(self, *events: h11.Event) -> None:
@@ -316,8 +321,11 @@
             self.transport.resume_reading()
 
     def make_way(self) -> None:
-        """Ends it between requests, with nothing unread: what was answered still reaches the client."""
-        self._close()
+        """Ends it between requests: what was answered still reaches the client, unless it does not read."""
+        if self.stuck:
+            self.abort()
+        else:
+            self._close()
 
     def abort(self) -> None:
         if self.transport is not None:
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import gc
 import socket
 import tracemalloc
@@ -15,8 +16,9 @@
 
 from linnetstile.net import ingress
 
-from .loopback import Client, message, run, until
+from .loopback import SETTINGS, Client, message, run, until
 from .test_clients import World
+from .test_crossings import World as Crossing
 
 MANY = b"".join(b"a%x:\r\n" % number for number in range(12_000))  # 80 KB of headers
 TINY = 2 * ingress.PIECES
@@ -127,3 +129,53 @@
             await until(lambda: len(host.ingress.connections) == 1)  # they have gone
             assert list(host.journal.entries) == ["m"]
     run(work())
+
+
+@pytest.mark.parametrize("by", ["its time", "another"])
+def test_a_client_that_reads_no_answers_is_let_go_and_its_last_message_with_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, by: str
+) -> None:
+    """Its connection and its messages are not kept until it reads: that may be never."""
+    made, answered = ingress.ClientConnection.connection_made, asyncio.Event()
+    answer = ingress.ClientConnection._answer
+
+    def small(self: ingress.ClientConnection, transport: asyncio.BaseTransport) -> None:
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
+        made(self, transport)
+
+    def hook(self: ingress.ClientConnection, reply: ingress.Reply) -> None:
+        answer(self, reply)
+        answered.set()
+
+    monkeypatch.setattr(ingress.ClientConnection, "connection_made", small)
+    monkeypatch.setattr(ingress.ClientConnection, "_answer", hook)
+    settings = {**SETTINGS, "limits": {**SETTINGS["limits"], "open-cap": 4000}}
+
+    async def work() -> None:
+        async with Crossing(tmp_path, settings) as world:
+            host = world.host
+            world.server.usual = None
+            with socket.socket() as deaf:
+                deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+                deaf.connect(("127.0.0.1", host.ingress.port))
+                await until(lambda: len(host.ingress.connections) == 1)
+                (connection,) = host.ingress.connections
+                last = -1
+                while not connection.stuck:
+                    last += 1
+                    answered.clear()
+                    deaf.sendall(message(f"m{last}"))
+                    await answered.wait()
+                assert connection.unsent == [f"m{last}"] and f"m{last}" in host.journal.entries
+                if by == "its time":
+                    deaf.sendall(message("unread"))  # is not read: its answer could not be written either
+                    connection.overdue()
+                else:
+                    monkeypatch.setattr(ingress, "SPARED_S", 0.0)
+                    host.ingress.allow(0)
+                for _ in range(3):  # turns
+                    await asyncio.sleep(0)
+                assert connection.transport is not None
+                assert connection.transport.get_extra_info("socket").fileno() < 0  # given back
+                assert not {f"m{last}", "unread"} & set(host.journal.entries) and "m0" in host.journal.entries
+    run(work())
