Play whole fleets of the relay's own module on the virtual clock

Cause: what many relays do together (a cold return, their load on discovery, their processor time) shows only at sizes that no bench reaches. Change: hollow relays run control.Relay, Directory and Watch as they are, with calls carried in memory; destinations with a limit, outages, a cold return and the fall; Poisson arrivals with clumps and skew; scheduled events; a checker that ends the run at the first broken rule; Scenario and run_fleet.

--- a/linnetstile/emulator/clock.py
+++ b/linnetstile/emulator/clock.py
@@ -9,10 +9,14 @@
 import asyncio
 import logging
 import random
-from collections.abc import Coroutine
-from typing import Any, TypeVar
+from collections import deque
+from collections.abc import Callable, Coroutine
+from contextvars import Context
+from heapq import heappop, heappush
+from typing import Any, TypeVar, TypeVarTuple
 
 T = TypeVar("T")
+Ts = TypeVarTuple("Ts")
 
 MOST_TURNS = 200_000_000  # of the loop: a run that comes to it does not end by itself
 
@@ -26,37 +30,64 @@
 
 
 class VirtualClockLoop(asyncio.BaseEventLoop):
-    """Time in seconds from 0. What a callback raises ends the run, since there is nobody to read a log."""
+    """Time in seconds from 0. What a callback raises ends the run, since there is nobody to read a log.
 
-    _scheduled: list[asyncio.TimerHandle]  # asyncio's heap, the next timer first
+    asyncio's own turn spends more time on comparing timers than on all else, and runs timers of one moment in
+    any order; here those run in the order in which they were set.
+    """
+
+    _ready: deque[asyncio.Handle]  # asyncio's queue of what runs next
 
     def __init__(self, most_turns: int = MOST_TURNS) -> None:
         super().__init__()
-        self._selector = self  # asyncio's loop asks it for events, and so for its wait
         self.most_turns, self.turns, self.now_s = most_turns, 0, 0.0
+        self.timers: list[tuple[float, int, asyncio.TimerHandle]] = []  # heap
+        self.timers_set = 0
         self.fault: BaseException | None = None
         self.set_exception_handler(self._on_fault)
 
     def time(self) -> float:
         return self.now_s
 
-    def select(self, timeout: float | None) -> list[Any]:
-        """Called once a turn; `timeout` is how long asyncio would wait, None for ever."""
+    def call_at(self, when: float, callback: Callable[[*Ts], object], *args: *Ts,
+                context: Context | None = None) -> asyncio.TimerHandle:
+        handle = asyncio.TimerHandle(when, callback, args, self, context)
+        self.timers_set += 1
+        heappush(self.timers, (when, self.timers_set, handle))
+        return handle
+
+    def call_later(self, delay: float, callback: Callable[[*Ts], object], *args: *Ts,
+                   context: Context | None = None) -> asyncio.TimerHandle:
+        return self.call_at(self.now_s + delay, callback, *args, context=context)
+
+    def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
+        """It is passed over when its time comes."""
+
+    def _run_once(self) -> None:
+        """One turn: what is ready, and the timers that are due; with neither, a jump to the next timer."""
         self.turns += 1
         if self.fault is not None:
             raise self.fault
         if self.turns > self.most_turns:
             raise TurnsSpent(f"{self.turns} turns at {self.now_s:.3f} s")
-        if timeout is None:
-            raise Deadlock(f"nothing is ready and no timer is set at {self.now_s:.3f} s")
-        if timeout > 0:  # to the timer's own time: now + timeout may round to just before it
-            self.now_s = max(self.now_s, self._scheduled[0].when())
-        return []
-
-    def _process_events(self, event_list: list[Any]) -> None:
-        pass
+        ready, timers = self._ready, self.timers
+        while timers and timers[0][2].cancelled():
+            heappop(timers)
+        if not ready:
+            if not timers:
+                raise Deadlock(f"nothing is ready and no timer is set at {self.now_s:.3f} s")
+            self.now_s = max(self.now_s, timers[0][0])
+        while timers and timers[0][0] <= self.now_s:
+            ready.append(heappop(timers)[2])
+        for _ in range(len(ready)):
+            handle = ready.popleft()
+            if not handle.cancelled():
+                handle._run()
 
     def _on_fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        future = context.get("future")
+        if future is not None and not isinstance(future, asyncio.Task):
+            return  # an answer to one who was ended in the same moment
         if self.fault is None:
             self.fault = context.get("exception") or RuntimeError(str(context.get("message")))
 
--- a/tests/test_emulator_world.py
+++ b/tests/test_emulator_world.py
@@ -5,13 +5,29 @@
 import asyncio
 import json
 import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
 
 import pytest
 
+from linnetstile.control import Relay
 from linnetstile.emulator import clock
+from linnetstile.emulator.checker import Breach, Checker
+from linnetstile.emulator.clients import Load
+from linnetstile.emulator.destinations import Destination, DestinationSettings, Health, bound
 from linnetstile.emulator.discovery import Discovery, DiscoverySettings, Outage, item
+from linnetstile.emulator.events import (
+    DestinationsDown, DiscoveryDown, ListChanges, Machine, RegionCut, RollingRestart,
+)
+from linnetstile.emulator.fleet import Scenario, run_fleet
 from linnetstile.emulator.fleet_measures import discovery_return
+from linnetstile.emulator.hollow import Shared, SharedDirectory
 from linnetstile.emulator.network import Delays, EmulatedAgent, Network
+from linnetstile.interface import (
+    AttemptEnded, DestinationKind, Effect, Endpoint, EndpointList, Listing, ListKind, MessageClass, Outcome,
+    Rates, Safety, Scope, Settings,
+)
 from linnetstile.net.agent import AgentError, Silent
 from linnetstile.net.discovery import Directory, Watch
 
@@ -188,3 +204,314 @@
     assert first.counted["calls_while_down"] >= 30
     assert repr(first.counted) == repr(again.counted) != repr(other.counted)
     assert first.histograms["heard_ms"].encode() == again.histograms["heard_ms"].encode()
+
+
+# -- destinations --------------------------------------------------------------------------------------------
+
+SAFETY = Safety(cold_share=0.25, cold_ms=1e9, fall_multiple=2.0, fall_ms=1000.0, drain_grace_ms=2000.0)
+
+
+@dataclass(eq=False)
+class Heard:
+    """A call that keeps what became of it."""
+
+    caller: int = 0
+    size: int = 1
+    answers: list[tuple[Outcome, float]] = field(default_factory=list)
+    resets: int = 0
+
+    def answer(self, outcome: Outcome, wait_ms: float = 0.0, report: tuple[float, ...] = ()) -> None:
+        self.answers.append((outcome, wait_ms))
+
+    def reset(self) -> None:
+        self.resets += 1
+
+
+def destination(limit_per_s: float = 10.0, refused_cost: bool = False, cold_ms: float = 1e9) -> Destination:
+    settings = DestinationSettings(limit_per_s, latency_ms=50.0, refused_cost=refused_cost)
+    return Destination(0, settings, replace(SAFETY, cold_ms=cold_ms), random.Random(1), {"s-0"})
+
+
+async def calls_at_return(calls: int, met: int = 0) -> Destination:
+    """So many calls at one moment right after an outage that failed `met` relays."""
+    there = destination()
+    there.go_down(Health.DOWN)
+    for caller in range(met):
+        assert there.accepts("s-0", caller) is False
+    there.come_back()
+    for caller in range(calls):
+        there.arrive(Heard(caller))
+    return there
+
+
+def test_a_cold_destination_falls_at_the_first_call_above_its_bound_and_not_below() -> None:
+    assert bound(5.0) == pytest.approx(11.472, abs=0.001)  # N is 2 x 0.25 x 10 calls in 1 s
+    stands, falls = (clock.run(calls_at_return(calls), 1) for calls in (11, 12))
+    assert stands.health is Health.UP and not stands.tally.returns[0].fell
+    assert stands.tally.returns[0].calls == 11 and stands.tally.returns[0].of_budget == 11 / 5
+    assert falls.health is Health.DOWN and falls.tally.returns[0].fell
+
+
+def test_calls_spread_over_more_than_a_window_do_not_bring_a_cold_destination_down() -> None:
+    async def work() -> Destination:
+        there = await calls_at_return(0)
+        for _ in range(60):
+            await asyncio.sleep(0.125)  # eight in each window, refused ones included
+            there.arrive(Heard())
+        return there
+
+    there = clock.run(work(), 1)
+    assert there.tally.refused > 0 and there.tally.returns[0].calls == 8 and there.health is Health.UP
+
+
+@pytest.mark.parametrize(("met", "warned"), [(0, 0.0), (9, 0.75)])
+def test_a_fall_tells_how_many_of_its_calls_came_from_relays_that_had_met_the_outage(
+    met: int, warned: float
+) -> None:
+    assert clock.run(calls_at_return(12, met), 1).tally.returns[0].warned == warned
+
+
+def test_a_destination_that_has_fallen_comes_back_cold_again() -> None:
+    async def work() -> Destination:
+        there = await calls_at_return(12)
+        await asyncio.sleep(3.1)
+        return there
+
+    there = clock.run(work(), 1)
+    assert there.health is Health.UP and [each.fell for each in there.tally.returns] == [True, False]
+
+
+def test_a_cold_destination_takes_its_share_and_all_of_its_limit_later() -> None:
+    async def work() -> list[float]:
+        there, loop = destination(cold_ms=8000.0), asyncio.get_running_loop()
+        before = there.capacity(0.0)
+        there.go_down(Health.SILENT)
+        there.come_back()
+        seen = [before, there.capacity(0.0)]
+        await asyncio.sleep(4.0)
+        seen.append(there.capacity(loop.time() * 1000))
+        return [*seen, there.capacity(9000.0)]
+
+    assert clock.run(work(), 1) == [10.0, 2.5, 6.25, 10.0]
+
+
+@pytest.mark.parametrize(("cost", "served"), [(False, 10 + 5), (True, 10)])
+def test_the_limit_holds_over_all_relays_and_refused_calls_may_use_it_up(cost: bool, served: int) -> None:
+    async def work() -> tuple[int, float]:
+        there = destination(refused_cost=cost)
+        first = [Heard(caller) for caller in range(20)]
+        for call in first:
+            there.arrive(call)
+        await asyncio.sleep(0.5)
+        later = [Heard() for _ in range(5)]
+        for call in later:
+            there.arrive(call)
+        await asyncio.sleep(1.0)
+        answers = [call.answers[0] for call in first + later]
+        return answers.count((Outcome.OK, 0.0)), next(wait for out, wait in answers if out is Outcome.FULL)
+
+    found, wait = clock.run(work(), 1)
+    assert found == served and wait == (200.0 if cost else 100.0)
+
+
+@pytest.mark.parametrize(("how", "resets", "answers"), [
+    (Health.DOWN, 1, []), (Health.SILENT, 0, []), (Health.ERRING, 0, [(Outcome.OK, 0.0)])])
+def test_an_outage_breaks_what_is_open_or_leaves_it_without_an_answer(
+    how: Health, resets: int, answers: list[tuple[Outcome, float]]
+) -> None:
+    async def work() -> tuple[Heard, bool | None, Heard]:
+        there, running, late = destination(), Heard(), Heard()
+        there.arrive(running)
+        there.go_down(how)
+        accepted = there.accepts("s-0", 0)
+        there.arrive(late)
+        await asyncio.sleep(1.0)
+        return running, accepted, late
+
+    running, accepted, late = clock.run(work(), 1)
+    assert (running.resets, running.answers) == (resets, answers)
+    assert accepted is {Health.DOWN: False, Health.SILENT: None, Health.ERRING: True}[how]
+    assert late.answers == ([(Outcome.ERROR, 0.0)] if how is Health.ERRING else [])
+
+
+# -- the rules -----------------------------------------------------------------------------------------------
+
+SAFE, KEYED, UNSAFE = range(3)
+RULES = Settings(
+    classes=(MessageClass("event", Effect.SAFE, 1000.0, 5000.0),
+             MessageClass("charge", Effect.KEYED, 1000.0, 5000.0, key_window_ms=1000.0, key_scope=Scope.ZONE),
+             MessageClass("command", Effect.UNSAFE, 1000.0, 5000.0)),
+    kinds=(DestinationKind("m1"),), slots=4, hold=9, attempts=2, safety=SAFETY)
+HERE, THERE, OTHER = (Endpoint(1, 0, Listing.READY), Endpoint(2, 0, Listing.READY, zone=1),
+                      Endpoint(3, 1, Listing.READY))
+
+
+def watched(class_: int = SAFE) -> Checker:
+    """Message 7 for destination 0, taken on at 0, due at 5,000."""
+    checker = Checker(RULES)
+    checker.restarted(-10_000.0, 0)
+    checker.listed(0.0, 0, EndpointList(ListKind.WHOLE, (HERE, THERE, OTHER)))
+    checker.taken(0.0, 0, 7, class_, 0, 5000.0)
+    return checker
+
+
+def tried(checker: Checker, at: float, outcome: Outcome, entry: Endpoint = HERE) -> Checker:
+    checker.wrote(at, 0, 7, entry)
+    checker.attempt_ended(at + 10.0, 7, outcome)
+    return checker
+
+
+def out_at(checker: Checker, at: float) -> Checker:
+    checker.wrote(at, 0, 7, HERE)
+    return checker
+
+
+def drained(checker: Checker, at: float) -> Checker:
+    gone = replace(HERE, listing=Listing.DRAINING)
+    checker.listed(at, 0, EndpointList(ListKind.CHANGES, (gone,)))
+    return checker
+
+
+def waiting(checker: Checker) -> Checker:
+    checker.told_wait(1000.0, 0, HERE, 990.0, 500.0)
+    return checker
+
+
+def died(checker: Checker, at: float) -> Checker:
+    """The process ends and comes back with the same list."""
+    checker.killed(at, 0)
+    checker.listed(at, 0, EndpointList(ListKind.WHOLE, (HERE, THERE, OTHER)))
+    checker.restarted(at + 600.0, 0)
+    return checker
+
+
+def ended(checker: Checker, at: float) -> Checker:
+    checker.ended(at, 7, "returned")
+    return checker
+
+
+BREACHES: list[tuple[str, Callable[[], object], Callable[[], object]]] = [
+    ("second end", lambda: ended(ended(watched(), 10.0), 20.0),
+     lambda: ended(watched(), 10.0)),
+    ("sent after its end", lambda: tried(ended(watched(), 10.0), 20.0, Outcome.OK),
+     lambda: tried(watched(), 20.0, Outcome.OK)),
+    ("late end", lambda: ended(watched(), 5351.0),
+     lambda: ended(watched(), 5349.0)),
+    ("no end", lambda: watched().look(5351.0),
+     lambda: watched().look(5349.0)),
+    ("no end", lambda: died(watched(), 4000.0).look(6101.0),
+     lambda: died(watched(), 4000.0).look(6099.0)),
+    ("no end", lambda: watched().finish(9.0),
+     lambda: ended(watched(), 8.0).finish(9.0)),
+    ("two attempts out", lambda: out_at(out_at(watched(), 10.0), 20.0),
+     lambda: tried(tried(watched(), 10.0, Outcome.FULL), 20.0, Outcome.FULL)),
+    ("attempt limit", lambda: out_at(tried(tried(watched(), 1.0, Outcome.FULL), 20.0, Outcome.FULL), 40.0),
+     lambda: out_at(tried(watched(), 1.0, Outcome.FULL), 20.0)),
+    ("unsafe repeat", lambda: tried(tried(watched(UNSAFE), 1.0, Outcome.TIMEOUT), 20.0, Outcome.OK),
+     lambda: tried(tried(watched(UNSAFE), 1.0, Outcome.CONNECT_FAILED), 20.0, Outcome.OK)),
+    ("unsafe repeat", lambda: tried(died(out_at(watched(UNSAFE), 1.0), 20.0), 900.0, Outcome.OK),
+     lambda: tried(died(out_at(watched(SAFE), 1.0), 20.0), 900.0, Outcome.OK)),
+    ("key window", lambda: tried(tried(watched(KEYED), 1.0, Outcome.RESET), 1002.0, Outcome.OK),
+     lambda: tried(tried(watched(KEYED), 1.0, Outcome.RESET), 1000.0, Outcome.OK)),
+    ("key scope", lambda: tried(tried(watched(KEYED), 1.0, Outcome.RESET), 20.0, Outcome.OK, THERE),
+     lambda: tried(tried(watched(KEYED), 1.0, Outcome.FULL), 20.0, Outcome.OK, THERE)),
+    ("told wait", lambda: tried(waiting(watched()), 1489.0, Outcome.OK),
+     lambda: tried(waiting(watched()), 1490.0, Outcome.OK)),
+    ("told wait", lambda: tried(waiting(watched()), 1091.0, Outcome.OK),
+     lambda: tried(waiting(watched()), 1089.0, Outcome.OK)),
+    ("drained endpoint", lambda: tried(drained(watched(), 100.0), 2151.0, Outcome.OK),
+     lambda: tried(drained(watched(), 100.0), 2149.0, Outcome.OK)),
+    ("wrong endpoint", lambda: tried(watched(), 1.0, Outcome.OK, OTHER),
+     lambda: tried(watched(), 1.0, Outcome.OK, HERE)),
+]
+
+
+@pytest.mark.parametrize(("rule", "wrong", "right"), BREACHES)
+def test_each_broken_rule_is_caught_and_what_just_keeps_it_is_not(
+    rule: str, wrong: Callable[[], object], right: Callable[[], object]
+) -> None:
+    right()
+    with pytest.raises(Breach, match="relay 0, message 7") as caught:
+        wrong()
+    assert caught.value.rule == rule
+
+
+# -- hollow relays -------------------------------------------------------------------------------------------
+
+ERRING = DestinationSettings(0.0, error_share=0.3)
+SMALL = Scenario(relays=4, destinations=6, load=Load(per_relay_per_s=4.0), duration_s=25.0, settle_s=5.0)
+
+
+real_listed, real_ended = Relay._listed, Relay._ended
+
+
+def never(*_: object) -> None:
+    """Stands for a part of the module that is missing."""
+
+
+def hears_of_no_changes(self: Relay, now: float, event: EndpointList) -> None:
+    if event.kind is ListKind.WHOLE:
+        real_listed(self, now, event)
+
+
+def forgets_waits(self: Relay, now: float, event: AttemptEnded) -> None:
+    real_ended(self, now, replace(event, wait_ms=0.0))
+
+
+FAULTS: list[tuple[str, str, Callable[..., Any], dict[str, Any]]] = [
+    ("unsafe repeat", "_until", lambda self, held: held.due, {"destination": ERRING}),
+    ("no end", "_close_late", never, {"events": (DestinationsDown(5.0, 20.0, 1.0, Health.SILENT),)}),
+    ("drained endpoint", "_listed", hears_of_no_changes,
+     {"events": (ListChanges(5.0, 18.0, 4.0, drain_s=30.0),)}),
+    ("told wait", "_ended", forgets_waits, {"limit_per_s": 0.2, "rates": Rates.NONE}),
+]
+
+
+@pytest.mark.parametrize(("rule", "part", "fault", "changes"), FAULTS)
+def test_a_fault_planted_in_the_module_breaks_its_rule_in_a_world_that_is_else_without_a_breach(
+    rule: str, part: str, fault: Callable[..., Any], changes: dict[str, Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    scenario = replace(SMALL, **changes)
+    assert run_fleet(scenario, 3).breaches == 0
+    monkeypatch.setattr(Relay, part, fault)
+    with pytest.raises(Breach) as caught:
+        run_fleet(scenario, 3)
+    assert caught.value.rule == rule
+
+
+def test_a_directory_that_shares_its_entries_holds_what_the_relays_own_does() -> None:
+    ready = [item(f"s-{number}", number, "a", 5.0) for number in range(4)]
+    lists = [ready[:3], [ready[1] | {"lifecycle": "gone"}, ready[3]], [ready[1]], ready[1:], ready]
+    shared: Shared = {}
+    for _ in range(2):
+        own, sharing = Directory(("m1",), ("a",)), SharedDirectory(("m1",), ("a",), shared)
+        for place, items in enumerate(lists):
+            raw = {"generation": place, "reset": place in (0, 3), "instances": items}
+            assert own.apply(raw) == sharing.apply(raw)
+            assert own.by_name == sharing.by_name and own.by_number == sharing.by_number
+
+
+@pytest.mark.parametrize("how", list(Health)[1:])
+def test_hollow_relays_deliver_through_an_outage_and_all_else_ends_once(how: Health) -> None:
+    result = run_fleet(replace(SMALL, events=(DestinationsDown(8.0, 5.0, 0.5, how),)), 1)
+    assert result.handed_in == result.delivered + result.returned + result.failed > 300
+    assert result.delivered > 0.8 * result.handed_in and len(result.returns) >= 3
+    assert result.checks >= result.delivered and result.latency_ms.get_total_count() == result.delivered
+    calls = [look.calls for look in result.looks]
+    assert calls == sorted(calls) and calls[-1] == result.calls
+
+
+def test_the_messages_of_killed_relays_are_taken_up_and_end_once() -> None:
+    events = (DestinationsDown(8.0, 6.0, 0.5, Health.SILENT), Machine(10.0, 0, 4, down_s=2.0))
+    result = run_fleet(replace(SMALL, events=events), 1)
+    assert result.resumed > 5 and result.turned_away > 0  # no relay serves for 2 s
+    ends = result.delivered + result.returned + result.failed
+    assert ends + result.turned_away == result.handed_in and result.failed > 0
+
+
+def test_the_same_seed_gives_the_same_run_byte_for_byte() -> None:
+    scenario = replace(SMALL, batch=3, discovery=DiscoverySettings(5.0, 500.0), events=(
+        DestinationsDown(6.0, 4.0, 0.3), ListChanges(2.0, 20.0, 1.0), Machine(9.0, 1, 2),
+        RegionCut(12.0, 1, 4.0), DiscoveryDown(17.0, 3.0), RollingRestart(20.0, 2, 3.0)))
+    first, again, other = (run_fleet(scenario, seed).text() for seed in (1, 1, 2))
+    assert first == again != other
