--- a/tests/test_emulator_world.py
+++ b/tests/test_emulator_world.py
@@ -21,8 +21,11 @@
     DestinationsDown, DiscoveryDown, ListChanges, Machine, RegionCut, RollingRestart,
 )
 from linnetstile.emulator.fleet import Scenario, run_fleet
-from linnetstile.emulator.fleet_measures import discovery_return
+from linnetstile.emulator.fleet_measures import (
+    cold_return, discovery_return, fleet_control, fleet_service, region_cut, rolling_restart,
+)
 from linnetstile.emulator.hollow import Shared, SharedDirectory
+from linnetstile.emulator.measure import MEASURES
 from linnetstile.emulator.network import Delays, EmulatedAgent, Network
 from linnetstile.interface import (
     AttemptEnded, DestinationKind, Effect, Endpoint, EndpointList, Listing, ListKind, MessageClass, Outcome,
@@ -515,3 +518,64 @@
         RegionCut(12.0, 1, 4.0), DiscoveryDown(17.0, 3.0), RollingRestart(20.0, 2, 3.0)))
     first, again, other = (run_fleet(scenario, seed).text() for seed in (1, 1, 2))
     assert first == again != other
+
+
+# -- the measures of a fleet ---------------------------------------------------------------------------------
+
+
+def test_measures_are_registered_and_know_their_parameters() -> None:
+    names = ("discovery_return", "fleet_control", "fleet_service", "cold_return", "rolling_restart",
+             "region_cut")
+    for name in names:
+        with pytest.raises(ValueError, match="relays, setle_s"):
+            MEASURES[name]({"setle_s": 1.0, "relays": 3}, 2, 1)
+
+
+def test_a_steady_fleet_exchanges_two_messages_for_each_change_or_each_hold() -> None:
+    changing = fleet_control({"endpoints": 5, "changes_per_s": 1.0, "duration_s": 20.0}, 6, 1).counted
+    assert changing["messages_per_s"] == pytest.approx(2.0, rel=0.1) and changing["unheard"] == 0
+    assert changing["versions"] == 20 and changing["begun_per_s"] == 0 and changing["worst_ms"] < 100
+    calm = fleet_control({"endpoints": 5, "changes_per_s": 0.05, "duration_s": 20.0}, 6, 1).counted
+    assert calm["messages_per_s"] == pytest.approx(1.0, rel=0.1)  # a hold of 2 s, told and asked again
+    assert calm["bytes_per_s"] < changing["bytes_per_s"]
+
+
+COLD = {"destinations": 3, "zipf": 0.0, "total_per_s": 90.0, "headroom": 1.2, "duration_s": 35.0,
+        "tells_wait": False}
+
+
+def test_a_cold_return_shows_falls_only_where_relays_do_not_keep_to_the_cold_budget(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    kept = cold_return(COLD, 12, 1).counted
+    assert kept["falls"] == 0 and kept["returns"] == kept["back_in_full"] == 1
+    assert 0 < kept["window_of_bound"] <= 1 and 0 < kept["full_after_ms"] < 20_000
+    monkeypatch.setattr(Relay, "_pace", lambda self, now, lane, out: (lane.total, 3.0))
+    hasty = cold_return(COLD, 12, 1).counted
+    assert hasty["falls"] > 0 and hasty["warned_falls"] > 0 and hasty["window_of_bound"] > 1
+
+
+@pytest.mark.parametrize("planned", [True, False])
+def test_a_rolling_restart_reaches_every_relay_and_loses_nothing(planned: bool) -> None:
+    params = {"destinations": 6, "per_relay_per_s": 4.0, "step_share": 0.34, "gap_s": 4.0, "planned": planned}
+    seen = rolling_restart(params, 6, 1).counted
+    ends = seen["delivered"] + seen["returned"] + seen["failed"] + seen["turned_away"]
+    assert seen["steps"] == 3 and seen["rerouted"] > 0 and ends == seen["handed_in"]
+    assert seen["delivered_share"] > 0.95
+    assert seen["resumed"] > 0 or planned
+
+
+def test_a_region_that_was_cut_off_holds_a_backlog_and_works_it_off() -> None:
+    params = {"destinations": 9, "endpoints_each": 1, "per_relay_per_s": 4.0, "cut_s": 6.0,
+              "duration_s": 45.0}
+    seen = region_cut(params, 6, 1).counted
+    assert seen["held_at_return"] > 2 * seen["held_before"] and seen["drained_after_ms"] > 0
+    assert seen["calls_per_s_peak"] > seen["calls_per_s_before"]
+
+
+def test_a_steady_fleet_delivers_and_the_same_seed_counts_the_same() -> None:
+    params = {"destinations": 5, "duration_s": 20.0, "rates": "none", "class_shares": [1.0, 1.0, 1.0]}
+    first, again = (fleet_service(params, 5, 1) for _ in range(2))
+    assert first.counted == again.counted and first.counted["delivered_share"] > 0.95
+    assert set(first.timed) >= {"processor_us_an_event", "module_us_an_event"}
+    assert all(value > 0 for value in first.timed.values())
