--- a/linnetstile/emulator/fleet.py
+++ b/linnetstile/emulator/fleet.py
@@ -253,7 +253,7 @@
     # -- the run -----------------------------------------------------------------------------------------
 
     async def run(self) -> FleetResult:
-        began, loop, scenario = time.process_time(), asyncio.get_running_loop(), self.scenario
+        loop, scenario = asyncio.get_running_loop(), self.scenario
         known = {"generation": 1, "reset": True, "instances": list(self.discovery.items.values())}
         for relay in self.relays:
             relay.known = known
@@ -264,7 +264,7 @@
             self._next(number, arrivals(scenario.load, rate, self.popular, self.seed, number))
         self._look()
         await asyncio.sleep(scenario.settle_s)
-        before = self._control()
+        before, spent = self._control(), self._spent()
         await asyncio.sleep(scenario.duration_s - scenario.settle_s)
         after, span_s = self._control(), scenario.duration_s - scenario.settle_s
         result = self.result
@@ -273,9 +273,24 @@
         while any(relay.held or not relay.up for relay in self.relays):  # ends: each has a deadline
             await asyncio.sleep(SAMPLE_S)
         self.checker.finish(loop.time() * 1000)
-        self._sum_up(time.process_time() - began)
+        self._sum_up()
+        self._time(spent)
         return result
 
+    def _spent(self) -> tuple[float, float, int]:
+        """Processor seconds so far, those of them in the relays' modules, and what these were told."""
+        works = [relay.work for relay in self.relays]
+        return time.process_time(), sum(w.handle_s for w in works), sum(w.events for w in works)
+
+    def _time(self, before: tuple[float, float, int]) -> None:
+        """Without the start, in which all relays take the whole list."""
+        processor_s, module_s, events = (now - then for now, then in zip(self._spent(), before, strict=True))
+        self.result.timed = {
+            "processor_s": processor_s, "module_s": module_s,
+            "module_us_an_event": 1e6 * module_s / max(1, events),
+            "processor_us_an_event": 1e6 * processor_s / max(1, events),
+        }
+
     def _control(self) -> tuple[int, int]:
         traffic = [relay.traffic for relay in self.relays]
         return sum(each.messages for each in traffic), sum(each.bytes for each in traffic)
@@ -289,7 +304,7 @@
             sum(relay.work.ends["delivered"] for relay in self.relays), self.discovery.counts.calls))
         loop.call_later(SAMPLE_S, self._look)
 
-    def _sum_up(self, processor_s: float) -> None:
+    def _sum_up(self) -> None:
         result, works = self.result, [relay.work for relay in self.relays]
         for relay in self.relays:
             if relay.version < self.discovery.version:
@@ -306,12 +321,6 @@
         result.versions = self.discovery.version - 1
         result.turns, result.module_events = sum(w.turns for w in works), sum(w.events for w in works)
         result.checks = self.checker.checks
-        module_s = sum(work.handle_s for work in works)
-        result.timed = {
-            "processor_s": processor_s, "module_s": module_s,
-            "module_us_an_event": 1e6 * module_s / max(1, result.module_events),
-            "processor_us_an_event": 1e6 * processor_s / max(1, result.module_events),
-        }
 
 
 async def _run(scenario: Scenario, seed: int) -> FleetResult:
--- a/tests/test_emulator_world.py
+++ b/tests/test_emulator_world.py
@@ -18,7 +18,7 @@
 from linnetstile.emulator.destinations import Destination, DestinationSettings, Health, bound
 from linnetstile.emulator.discovery import Discovery, DiscoverySettings, Outage, item
 from linnetstile.emulator.events import (
-    DestinationsDown, DiscoveryDown, ListChanges, Machine, RegionCut, RollingRestart,
+    DestinationsDown, DiscoveryDown, ListChanges, Machine, Region, RegionCut, RollingRestart,
 )
 from linnetstile.emulator.fleet import Scenario, run_fleet
 from linnetstile.emulator.fleet_measures import (
@@ -512,6 +512,36 @@
     assert ends + result.turned_away == result.handed_in and result.failed > 0
 
 
+def test_a_region_that_dies_is_taken_up_by_its_new_processes() -> None:
+    result = run_fleet(replace(SMALL, events=(
+        DestinationsDown(8.0, 6.0, 0.5, Health.SILENT), Region(10.0, 0, down_s=2.0))), 1)
+    assert result.resumed > 0 and result.rerouted > 0 and result.turned_away == 0
+    assert result.delivered + result.returned + result.failed == result.handed_in
+
+
+def test_a_relay_turns_a_tick_apart_at_the_least(monkeypatch: pytest.MonkeyPatch) -> None:
+    turns: dict[int, list[float]] = {}
+    real_handle = Relay.handle
+
+    def handle(self: Relay, now_ms: float, events: list[Any]) -> list[Any]:
+        turns.setdefault(id(self), []).append(now_ms)
+        return real_handle(self, now_ms, events)
+
+    monkeypatch.setattr(Relay, "handle", handle)
+    run_fleet(replace(SMALL, load=Load(per_relay_per_s=200.0), duration_s=2.0, settle_s=1.0), 1)
+    gaps = [later - now for times in turns.values() for now, later in zip(times, times[1:], strict=False)]
+    close = [gap for gap in gaps if gap < SMALL.tick_ms + 0.001]  # events came faster than turns
+    assert len(turns) == SMALL.relays and len(close) > 100 and min(gaps) > SMALL.tick_ms - 0.001
+
+
+def test_staleness_counts_from_a_change_to_the_last_relays_having_it() -> None:
+    changes = ListChanges(10.0, 8.0, 1.0)
+    reached = run_fleet(replace(SMALL, events=(changes,)), 1)
+    cut = run_fleet(replace(SMALL, events=(changes, RegionCut(9.9, 1, 6.0))), 1)
+    assert reached.versions == cut.versions >= 8
+    assert 0 < reached.staleness_ms < 100 and 6000 <= cut.staleness_ms < 10_000
+
+
 def test_the_same_seed_gives_the_same_run_byte_for_byte() -> None:
     scenario = replace(SMALL, batch=3, discovery=DiscoverySettings(5.0, 500.0), events=(
         DestinationsDown(6.0, 4.0, 0.3), ListChanges(2.0, 20.0, 1.0), Machine(9.0, 1, 2),
