Test what single faults of the emulated world left unnoticed

Cause: of 15 single faults put into the world by hand, seven passed all tests. Change: tests for the order of timers, what a cut loses on its way, credit at a return, attempts across processes, may_write while a connection comes up, staleness after an outage, and waits after a kill.

--- a/tests/test_emulator_world.py
+++ b/tests/test_emulator_world.py
@@ -18,7 +18,7 @@
 from linnetstile.emulator.destinations import Destination, DestinationSettings, Health, bound
 from linnetstile.emulator.discovery import Discovery, DiscoverySettings, Outage, item
 from linnetstile.emulator.events import (
-    DestinationsDown, DiscoveryDown, ListChanges, Machine, Region, RegionCut, RollingRestart,
+    DestinationsDown, DiscoveryDown, Event, ListChanges, Machine, Region, RegionCut, RollingRestart,
 )
 from linnetstile.emulator.fleet import Scenario, run_fleet
 from linnetstile.emulator.fleet_measures import (
@@ -61,6 +61,17 @@
     assert clock.run(work(), 1) == [0.0, 86_400.0, 86_400.25]
 
 
+def test_timers_of_one_moment_run_in_the_order_in_which_they_were_set() -> None:
+    async def work() -> list[int]:
+        seen, loop = list[int](), asyncio.get_running_loop()
+        for number in range(50):
+            loop.call_at(1.0, seen.append, number)
+        await asyncio.sleep(2.0)
+        return seen
+
+    assert clock.run(work(), 1) == list(range(50))
+
+
 def test_a_run_in_which_nothing_can_happen_any_more_says_so() -> None:
     async def work() -> None:
         await asyncio.sleep(3.0)
@@ -138,6 +149,23 @@
     assert took == pytest.approx(0.061) and (sent, heard) == (3, 1)
 
 
+def test_what_is_on_its_way_when_a_region_is_cut_off_is_lost() -> None:
+    async def work() -> list[str]:
+        net, seen = network(cross_ms=30.0), list[str]()
+        net.carry(0, 1, lambda: seen.append("cut off on its way"))
+        net.carry(1, 1, lambda: seen.append("within the region"))
+        await asyncio.sleep(0.01)
+        net.cut.add(1)
+        net.carry(0, 1, lambda: seen.append("sent while cut off"))
+        net.carry(0, 2, lambda: seen.append("between others"))
+        await asyncio.sleep(0.1)
+        net.cut.clear()
+        await asyncio.sleep(0.1)
+        return seen
+
+    assert clock.run(work(), 1) == ["within the region", "between others"]
+
+
 async def asked_at_once(served: Discovery, calls: int) -> list[tuple[float, int]]:
     net, loop = network(), asyncio.get_running_loop()
 
@@ -284,6 +312,18 @@
     assert there.health is Health.UP and [each.fell for each in there.tally.returns] == [True, False]
 
 
+def test_a_destination_has_nothing_saved_up_at_its_return() -> None:
+    async def work() -> list[Outcome]:
+        there = await calls_at_return(0)
+        calls = [Heard(), Heard()]
+        for call in calls:
+            there.arrive(call)
+        await asyncio.sleep(1.0)
+        return [call.answers[0][0] for call in calls]
+
+    assert clock.run(work(), 1) == [Outcome.OK, Outcome.FULL]
+
+
 def test_a_cold_destination_takes_its_share_and_all_of_its_limit_later() -> None:
     async def work() -> list[float]:
         there, loop = destination(cold_ms=8000.0), asyncio.get_running_loop()
@@ -439,6 +479,13 @@
     assert caught.value.rule == rule
 
 
+def test_a_process_that_died_owes_nothing_while_it_is_down_and_is_not_bound_by_waits_told_to_it() -> None:
+    down = watched()
+    down.killed(4000.0, 0)
+    down.look(60_000.0)
+    tried(died(waiting(watched()), 1050.0), 1400.0, Outcome.OK)
+
+
 # -- hollow relays -------------------------------------------------------------------------------------------
 
 ERRING = DestinationSettings(0.0, error_share=0.3)
@@ -466,6 +513,8 @@
     ("no end", "_close_late", never, {"events": (DestinationsDown(5.0, 20.0, 1.0, Health.SILENT),)}),
     ("drained endpoint", "_listed", hears_of_no_changes,
      {"events": (ListChanges(5.0, 18.0, 4.0, drain_s=30.0),)}),
+    ("told wait", "may_write", lambda self, now, ident: True,
+     {"limit_per_s": 0.2, "rates": Rates.NONE, "delays": Delays(cross_ms=200.0)}),
     ("told wait", "_ended", forgets_waits, {"limit_per_s": 0.2, "rates": Rates.NONE}),
 ]
 
@@ -512,6 +561,14 @@
     assert ends + result.turned_away == result.handed_in and result.failed > 0
 
 
+def test_a_new_process_goes_on_from_the_attempts_of_the_old_one() -> None:
+    """One attempt more than the limit would end the run."""
+    kills = [Machine(at_s, 0, 4, down_s=0.5) for at_s in (7.0, 9.0, 11.0, 13.0)]
+    events: tuple[Event, ...] = DestinationsDown(5.0, 12.0, 1.0, Health.ERRING), *kills
+    result = run_fleet(replace(SMALL, attempts=2, events=events), 1)
+    assert result.resumed > 20 and result.outcomes["error"] > 100
+
+
 def test_a_region_that_dies_is_taken_up_by_its_new_processes() -> None:
     result = run_fleet(replace(SMALL, events=(
         DestinationsDown(8.0, 6.0, 0.5, Health.SILENT), Region(10.0, 0, down_s=2.0))), 1)
@@ -542,6 +599,13 @@
     assert 0 < reached.staleness_ms < 100 and 6000 <= cut.staleness_ms < 10_000
 
 
+def test_staleness_counts_from_the_return_of_discovery_or_of_the_relay() -> None:
+    changes = ListChanges(10.0, 12.0, 1.0)
+    events: tuple[Event, ...] = DiscoveryDown(9.9, 8.0), Machine(9.9, 0, 1, down_s=8.0)
+    for event in events:
+        assert 100 < run_fleet(replace(SMALL, events=(changes, event)), 1).staleness_ms < 7000
+
+
 def test_the_same_seed_gives_the_same_run_byte_for_byte() -> None:
     scenario = replace(SMALL, batch=3, discovery=DiscoverySettings(5.0, 500.0), events=(
         DestinationsDown(6.0, 4.0, 0.3), ListChanges(2.0, 20.0, 1.0), Machine(9.0, 1, 2),
