--- a/linnetstile/emulator/discovery.py
+++ b/linnetstile/emulator/discovery.py
@@ -9,7 +9,7 @@
 import asyncio
 import json
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -36,6 +36,11 @@
     told_per_s: float = 0.0  # open watches told of news; 0: all at once
 
 
+def discovery_for(settings: DiscoverySettings, pushed: bool) -> DiscoverySettings:
+    """Where lists are pushed, each relay asks an agent of its own: no call waits for another relay's."""
+    return replace(settings, calls_per_s=float("inf")) if pushed else settings
+
+
 def item(name: str, destination: int, zone: str, rate: float, lifecycle: str = "ready",
          machine: str = "m1") -> Item:
     """An entry of the list in discovery's form."""
--- a/linnetstile/emulator/fleet.py
+++ b/linnetstile/emulator/fleet.py
@@ -16,7 +16,7 @@
 from .checker import Checker
 from .clients import Arrival, Load, arrivals, popularity, relay_rates
 from .destinations import Destination, DestinationSettings, Return
-from .discovery import Discovery, DiscoverySettings, Item, item
+from .discovery import Discovery, DiscoverySettings, Item, discovery_for, item
 from .events import Event, schedule
 from .hollow import HollowRelay, Surroundings
 from .network import Delays, Network
@@ -159,7 +159,7 @@
         settings = [scenario.settings(region) for region in range(scenario.regions)]
         self.checker = Checker(settings[0])
         self.destinations = [self._destination(number) for number in range(scenario.destinations)]
-        self.discovery = Discovery(scenario.discovery, [
+        self.discovery = Discovery(discovery_for(scenario.discovery, scenario.pushed), [
             each for destination in self.destinations for each in self._items(destination)])
         self.around = Surroundings(
             self.network, self.discovery, self.destinations, self.checker, self.zones, scenario.pushed,
--- a/linnetstile/emulator/fleet_measures.py
+++ b/linnetstile/emulator/fleet_measures.py
@@ -24,7 +24,7 @@
 from . import clock
 from .clients import Load
 from .destinations import DestinationSettings, Health
-from .discovery import Counts, Discovery, DiscoverySettings, Item, Outage, item
+from .discovery import Counts, Discovery, DiscoverySettings, Item, Outage, discovery_for, item
 from .events import DestinationsDown, Event, RegionCut, RollingRestart
 from .fleet import SAFETY, FleetResult, Look, Scenario, histogram, run_fleet
 from .measure import Params, Sample, measure
@@ -150,8 +150,8 @@
     figures = own(params, **shared)
     items = [item(f"s-{number:06x}", number, "a", 10.0) for number in range(figures["endpoints"])]
     network = Network(Delays(**named(Delays, params)), plain_stream(seed, "network"))
-    return Watches(Discovery(DiscoverySettings(**named(DiscoverySettings, params)), items), size,
-                   figures["regions"], figures["pushed"], network)
+    settings = discovery_for(DiscoverySettings(**named(DiscoverySettings, params)), figures["pushed"])
+    return Watches(Discovery(settings, items), size, figures["regions"], figures["pushed"], network)
 
 
 async def _started(watches: Watches, settle_s: float) -> list[asyncio.Task[None]]:
--- a/tests/test_emulator_world.py
+++ b/tests/test_emulator_world.py
@@ -237,6 +237,14 @@
     assert first.histograms["heard_ms"].encode() == again.histograms["heard_ms"].encode()
 
 
+def test_where_lists_are_pushed_no_relay_waits_for_another() -> None:
+    params = {"endpoints": 4, "calls_per_s": 1.0, "wait_ms": 100.0, "down_s": 5.0, "settle_s": 10.0}
+    shared, pushed = (discovery_return(params | {"pushed": on, "limit_s": 20.0}, 10, 1).counted
+                      for on in (False, True))
+    assert shared["turned_away"] > 0 and shared["last_ms"] > 4000
+    assert pushed["turned_away"] == pushed["unheard"] == 0 and pushed["last_ms"] < 4000
+
+
 # -- destinations --------------------------------------------------------------------------------------------
 
 SAFETY = Safety(cold_share=0.25, cold_ms=1e9, fall_multiple=2.0, fall_ms=1000.0, drain_grace_ms=2000.0)
