--- a/linnetstile/emulator/experiment.py
+++ b/linnetstile/emulator/experiment.py
@@ -138,9 +138,13 @@
 def experiment_from(text: str, sizes: list[int] | None = None, seeds: list[int] | None = None) -> Experiment:
     """Reads the text of a file; `sizes` and `seeds` go before what it says, for a look."""
     try:
-        table = tomllib.loads(text)
+        return read(tomllib.loads(text), sizes, seeds)
     except tomllib.TOMLDecodeError as error:
         raise ExperimentError(f"not TOML: {error}") from error
+
+
+def read(table: Mapping[str, Any], sizes: list[int] | None = None,
+         seeds: list[int] | None = None) -> Experiment:
     fields = Fields(table)
     name, target = fields.text("name"), fields.get("target")
     if not NAME.fullmatch(name):
@@ -176,7 +180,7 @@
 
 def fit_from(fields: Fields, target: int | None) -> Fit:
     shape, limit = fields.get("shape"), fields.number("limit")
-    if shape is not None and shape not in SHAPES:
+    if shape is not None and shape not in list(SHAPES):
         raise fields.error("shape", f"{shape!r} is not known; known are {', '.join(SHAPES)}")
     if limit is not None and target is None:
         raise fields.error("limit", "needs a target, at which it has to hold")
--- a/linnetstile/emulator/module_measures.py
+++ b/linnetstile/emulator/module_measures.py
@@ -430,7 +430,7 @@
 
 def an_entry(n: int, seed: int, body_bytes: int) -> Entry:
     return Entry(f"{seed:04x}-{n:012x}", "safe", "tenant", n % QUEUES + 1, None, SINCE, DUE, "",
-                 bytes(n + byte & 255 for byte in range(body_bytes)))
+                 (n.to_bytes(8, "big") * (body_bytes // 8 + 1))[:body_bytes])
 
 
 def body_bytes(params: Params) -> int:
--- a/linnetstile/emulator/report.py
+++ b/linnetstile/emulator/report.py
@@ -81,9 +81,8 @@
 
 
 def number(value: float) -> str:
-    if value == round(value) and abs(value) < 1e15:
-        return f"{value:,.0f}"
-    return f"{value:,.0f}" if abs(value) >= 1e4 else f"{value:.4g}"
+    short = f"{value:.4g}"
+    return f"{value:,.0f}" if abs(float(short)) >= 1000 else short
 
 
 HEADS = ("figure", "size", "median", "spread", "slope x size", "residual", "exponent", "shape", "at target",
