Measure a whole relay process by the event, and bound a run by what its file says

One process on loopback takes events at a rate and delivers each to a stand-in; its processor time comes from the threads' schedstat. The test of a run that hangs passed with any bound, and that of a crash with the run's error left out: both fail now where the code is changed so.

--- a/linnetstile/emulator/cli.py
+++ b/linnetstile/emulator/cli.py
@@ -17,7 +17,7 @@
 from .experiment import Experiment, ExperimentError, load
 from .measure import MEASURES
 
-MODULES = ("module_measures", "fleet_measures")  # of this package, as far as they are there
+MODULES = ("module_measures", "process_measures", "fleet_measures")  # of this package, if they are there
 BAD = 2  # the exit code of bad usage or a bad file
 CODES = "\b\nExit codes: 0 ok; 1 a shape check or a run failed; 2 bad usage or a bad file."
 
--- a/linnetstile/emulator/runs.py
+++ b/linnetstile/emulator/runs.py
@@ -72,8 +72,8 @@
     try:
         done = subprocess.run(command, capture_output=True, text=True, timeout=experiment.timeout_s,
                               env=environment(), stdin=subprocess.DEVNULL)
-    except subprocess.TimeoutExpired:
-        return Run(size, seed, error=f"not done within {experiment.timeout_s:g} s")
+    except subprocess.TimeoutExpired as error:
+        return Run(size, seed, error=f"not done within {error.timeout:g} s")
     if done.returncode:
         said = done.stderr.strip().splitlines()[-ERROR_LINES:]
         return Run(size, seed, error=f"ended with {done.returncode}: {' '.join(said)}")
--- a/tests/planted_measures.py
+++ b/tests/planted_measures.py
@@ -30,7 +30,7 @@
     """Never ends from the size `hangs_at` on."""
     while size >= int(params["hangs_at"]):
         signal.pause()
-    return Sample({"work": float(size)})
+    return Sample({"work": float(size)}, {"took_us": 1.0})
 
 
 @measure("planted_crash")
@@ -38,4 +38,4 @@
     """Fails at the size `fails_at`."""
     if size == int(params["fails_at"]):
         raise RuntimeError("planted")
-    return Sample({"work": float(size)})
+    return Sample({"work": float(size)}, {"took_us": 1.0})
--- a/tests/test_emulator_experiments.py
+++ b/tests/test_emulator_experiments.py
@@ -16,7 +16,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from linnetstile.emulator import cli, experiment, fits, module_measures, report, runs
+from linnetstile.emulator import cli, experiment, fits, module_measures, process_measures, report, runs
 from linnetstile.emulator.experiment import SHAPES, Experiment, ExperimentError, experiment_from
 from linnetstile.emulator.measure import MEASURES
 from linnetstile.emulator.runs import Run
@@ -25,6 +25,7 @@
 
 PLANTED = planted_measures.__name__
 OWN = sorted((Path(experiment.__file__).parent / "experiments").glob("*.toml"))
+OF_A_MODULE = [path for path in OWN if getattr(module_measures, path.stem, None) is not None]
 GOOD = """
 name = "trial"
 measure = "planted"
@@ -142,8 +143,9 @@
     cli.import_measures()
     own = [experiment.load(path) for path in OWN]
     assert [each.name for each in own] == [path.stem for path in OWN]
-    ours = {name for name, function in MEASURES.items() if function.__module__ == module_measures.__name__}
-    assert ours and ours <= {each.measure for each in own} <= set(MEASURES)
+    modules = module_measures.__name__, process_measures.__name__
+    ours = {name for name, function in MEASURES.items() if function.__module__ in modules}
+    assert len(ours) >= 12 and ours <= {each.measure for each in own} <= set(MEASURES)
     assert all(any(fit.shape for fit in each.fits) for each in own)  # each has a check that can fail
 
 
@@ -272,12 +274,12 @@
 
 
 def test_a_run_that_crashes_is_said_and_the_others_go_on(tmp_path: Path) -> None:
-    text = GOOD.replace('"planted"', '"planted_crash"').replace("power = 1", "fails_at = 10")
-    found = run_file(tmp_path, text, "--sizes", "10,20", "--seeds", "7")
-    assert found.exit_code == 1
-    assert "FAILED run: size 10, seed 7: ended with 1: RuntimeError: planted." in found.output
+    text = GOOD.replace('"planted"', '"planted_crash"').replace("power = 1", "fails_at = 20")
+    found = run_file(tmp_path, text, "--sizes", "10,20,40", "--seeds", "7")
+    assert found.exit_code == 1 and "linear: ok" in found.output  # nothing but the run itself has failed
+    assert "FAILED run: size 20, seed 7: ended with 1: RuntimeError: planted." in found.output
     lines = [json.loads(line) for line in (tmp_path / "out/trial.jsonl").read_text().splitlines()[1:]]
-    assert [line["size"] for line in lines if "error" not in line] == [20]
+    assert [line["size"] for line in lines if "error" not in line] == [10, 40]
     assert invoke("experiment", "table", tmp_path / "out/trial.jsonl").exit_code == 1  # nor when read again
 
 
@@ -406,14 +408,12 @@
 # -- the package's own measures --------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("path", [path for path in OWN], ids=lambda path: path.stem)
+@pytest.mark.parametrize("path", OF_A_MODULE, ids=lambda path: path.stem)
 def test_a_small_sweep_of_each_experiment_keeps_its_shapes(
     path: Path, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """In this process, and each figure timed once: only what is counted is looked at."""
     cli.import_measures()
-    if MEASURES[experiment.load(path).measure].__module__ != module_measures.__name__:
-        pytest.skip("a fleet's measure: see its own tests")
 
     def once(each: Experiment, size: int, seed: int, modules: tuple[str, ...]) -> Run:
         return Run(size, seed, **runs.sample_json(MEASURES[each.measure](each.params, size, seed)))
@@ -439,3 +439,9 @@
     assert second - first == third - second >= 10
     few, many = (module_measures.opcodes(partial(parted, n)) for n in (10, 10_000))
     assert few == many
+
+
+def test_a_whole_process_delivers_each_event_and_its_processor_time_is_read() -> None:
+    sample = process_measures.event_end_to_end({"for_s": 0.1}, 100, 1)
+    assert sample.counted == {"events": 10.0}  # else it would have failed
+    assert sample.timed["event_us"] > 0 and sample.timed["second_us"] > 0
