Ask of each destination that lost an endpoint whether another is listed, not of all

Cause: the difference of a set and a dictionary's keys walks the dictionary: with every change of the list the host spent 8.7 ns for each endpoint listed (list_drain, host_us: 837 us at 100,000), which opcodes don't show. Change: only the destinations that lost their last endpoint are looked up.

--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -103,7 +103,7 @@
 
     def lost(self) -> set[int]:
         """The destinations that have lost their last endpoint since this was last asked."""
-        lost, self.left = self.left - self.dests.keys(), set()
+        lost, self.left = {dest for dest in self.left if dest not in self.dests}, set()  # walks not all dests
         return lost
 
     def _readable(self, item: Any) -> Known | None:
