--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Coroutine
 from typing import Any
 
 import pytest
@@ -15,31 +14,11 @@
 from linnetstile.net.outcomes import Notices
 
 from .loopback import Agent, answer, run, until
+from .virtual_time import run_virtual
 
 TOO_LATE_S = 0.32  # from the notice until its message counts as lost: 20 ms before its time, 300 ms after
 
 
-class Clock(asyncio.SelectorEventLoop):
-    """A loop whose time goes on only while nothing is ready: to the next timer."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.at = 0.0
-
-    def time(self) -> float:
-        return self.at
-
-    def _run_once(self) -> None:
-        if not self._ready and self._scheduled:  # type: ignore[attr-defined]
-            self.at = max(self.at, self._scheduled[0].when())  # type: ignore[attr-defined]
-        super()._run_once()  # type: ignore[misc]
-
-
-def on_a_given_clock(work: Coroutine[Any, Any, None]) -> None:
-    with asyncio.Runner(loop_factory=Clock) as runner:
-        runner.run(asyncio.wait_for(work, 60.0))
-
-
 class Platform:
     """What connections do, in the order in which they are first used: "silent", "late", "reset" or "well"."""
 
@@ -89,7 +68,7 @@
         assert platform.came["a"] < TOO_LATE_S and platform.came["b"] < 0.01 + TOO_LATE_S
         assert not notices.waiting and len(notices.free) == outcomes.WAYS
         task.cancel()
-    on_a_given_clock(work())
+    run_virtual(work())
 
 
 def test_a_platform_that_says_nothing_is_not_asked_ever_faster(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -102,7 +81,7 @@
         await asyncio.sleep(10.0)
         assert platform.requests <= outcomes.WAYS * 10.0 / outcomes.ANSWER_S
         task.cancel()
-    on_a_given_clock(work())
+    run_virtual(work())
 
 
 def test_a_notice_goes_out_again_while_its_first_answer_is_waited_for(
