Keep a message that came again under its id when its first connection ends unheard

Cause: where a close crosses a request, its client sends it once more on a new connection, under the same id, and is told 202 there. If the relay saw the first connection's end only then, with an answer not fully written, ClientConnection.connection_lost took the message back: taken on for its client, and without an end. Where the second request reached another process: not covered. Change: an id that was answered once more is not taken back by an earlier connection. Result: the new test fails without it; the tests of crossings, hosts, clients, closing and replacement pass.

--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -92,6 +92,7 @@
         self.held: dict[int, Held] = {}
         self.leaving: set[str] = set()  # withdrawn while a call was out, which still is
         self.numbers: dict[str, int] = {}
+        self.repeated: set[str] = set()  # of these, brought once more under their own id, and answered
         self.last_number = 0
         self.ready = False
         self.events: list[api.Event] = []
@@ -291,6 +292,7 @@
         entries = [held.entry for number in numbers if (held := self.held.pop(number, None)) is not None]
         for entry in entries:
             self.numbers.pop(entry.id, None)
+            self.repeated.discard(entry.id)
         self.figures.gauges["active"] = len(self.held)
         self._journal(lambda: self.journal.give(entries))
 
@@ -443,6 +445,8 @@
         if entry.id in self.leaving:
             return Reply(503, "this message was given up, and its call has not ended", retry_s=RETRY_S)
         if self.journal.knows(entry.id):
+            if entry.id in self.numbers:
+                self.repeated.add(entry.id)
             return Reply(202)  # also while it is under way: it is one message, however often it comes
         if len(self.held) >= self.settings.hold:
             log.info("message %s for %d: turned away, %d are held", entry.id, entry.dest, len(self.held))
@@ -509,7 +513,10 @@
         return len(line_of(entry.id, entry.key, entry.body))
 
     def withdraw(self, ident: str) -> None:
-        """Its client never read the answer, and hands it in again under another id."""
+        """Its client never read the answer, and hands it in again under another id. Not so where a close
+        crossed the request: then it has come again under its own id, and that answer stands."""
+        if ident in self.repeated:
+            return
         log.info("message %s: taken back, as its client has gone without the answer", ident)
         if ident in self.numbers:
             self._withdrawn(ident)
@@ -522,6 +529,7 @@
         self.figures.gauges["active"] = len(self.held)
         if held is not None:
             self.numbers.pop(held.entry.id, None)
+            self.repeated.discard(held.entry.id)
             held.entry.body = b""
             if held.call is not None:
                 self.leaving.add(held.entry.id)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -115,6 +115,28 @@
     run(work())
 
 
+def test_a_message_that_came_again_under_its_id_outlives_its_first_connection(tmp_path: Path) -> None:
+    """A close crossed the request, so its client sent it once more and heard that it is taken on; only then
+    does the relay see the first connection's end, with an answer that was not read."""
+    async def work() -> None:
+        async with World(tmp_path) as world:
+            host, world.server.hold = world.host, asyncio.Event()
+            async with Client(host.ingress.port) as first:
+                assert await first.ask(message("m")) == 202
+                await world.server.came.get()
+                (connection,) = host.ingress.connections
+                connection.unsent.append("m")  # as if a byte of the answer were not written yet
+                async with Client(host.ingress.port) as second:
+                    assert await second.ask(message("m")) == 202
+                    first.writer.transport.abort()
+                    await until(lambda: connection not in host.ingress.connections)
+                    assert "m" in host.numbers
+                    world.server.hold.set()
+                    await until(lambda: not host.held)
+            assert host.journal.entries["m"].end == "delivered" and not host.repeated
+    run(work())
+
+
 # -- the end of a call's time, and of the process, in the turn of a byte -----------------------------------
 
 
