--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -7,9 +7,7 @@
 from __future__ import annotations
 
 import random
-import sys
 from collections.abc import Callable
-from types import FrameType
 from typing import Any
 
 import pytest
@@ -17,6 +15,7 @@
 from hypothesis import strategies as st
 
 from linnetstile import interface as api
+from linnetstile.emulator.module_measures import opcodes
 from linnetstile.health import FADE_MS, suspect
 from linnetstile.net.discovery import Directory
 from linnetstile.state import Agenda
@@ -27,24 +26,6 @@
 SLACK = 1.5  # a heap is deeper by some steps, a dictionary's walk is not
 
 
-def opcodes(work: Callable[[], object]) -> int:
-    count = 0
-
-    def step(frame: FrameType, event: str, _: Any) -> Any:
-        nonlocal count
-        frame.f_trace_opcodes = True
-        count += event == "opcode"
-        return step
-
-    before = sys.gettrace()
-    sys.settrace(step)
-    try:
-        work()
-    finally:
-        sys.settrace(before)
-    return count
-
-
 def endpoint(ident: int, dest: int, listing: api.Listing = api.Listing.READY, kind: int = 0) -> api.Endpoint:
     return api.Endpoint(ident, dest, listing, kind, 0, 20.0)
 
