Say in one place which answers may tell a wait, and whether a head has come

Cause: Trip.heard and Trip.cut_off each had their own condition, and differed for a shared call's 500, which tells none; whether a head was there was asked in two ways. Change: Trip.may_tell and Link.read_head serve all of them. A shared 500 that is cut off tells no wait any more, as one that ends never did. No test for the 500 by itself.

--- a/linnetstile/net/egress.py
+++ b/linnetstile/net/egress.py
@@ -57,18 +57,21 @@
     def heard(self, code: int, head: Head | None) -> None:
         """A wait binds the whole destination from when it is written: it is told on as soon as it is read,
         whatever becomes of the rest of its answer, and of the call's task."""
-        if code in WAIT_TOLD or code == 200 and len(self.sent) > 1:
+        if self.may_tell(code):
             wait = None if head is None else wait_of(head)
             if wait is None or wait > 0 or self.hinted:
                 self.hinted = True
                 self.sent[0].told_wait(wait)
 
+    def may_tell(self, code: int) -> bool:
+        """Whether an answer to this call may tell a wait."""
+        return code in WAIT_TOLD or code == 200 and len(self.sent) > 1
+
     def cut_off(self, cut: Outcome, on: str = "") -> Answer:
         """What is known of a call that ends without its whole answer."""
-        link, wait_ms = self.link, 0.0
-        if link is not None and link.head.done() and not link.head.cancelled() and not link.head.exception():
-            head = link.head.result()
-            wait_ms = wait_of(head) if head.status in WAIT_TOLD or len(self.sent) > 1 else 0.0
+        link = self.link
+        head = None if link is None else link.read_head
+        wait_ms = 0.0 if head is None or not self.may_tell(head.status) else wait_of(head)
         if link is None or not link.out:
             return Answer(Outcome.CONNECT_FAILED, wait_ms=wait_ms, on=on)  # no endpoint had all of it
         if len(self.sent) == 1 and link.code == 200:
@@ -207,8 +210,8 @@
                 else:
                     one = len(trip.sent) == 1
                     answer = answer_of(await link.head) if one else answer_of_all(await link.head)
-                if link.head.done() and link.head.exception() is None:
-                    report = report_of(link.head.result(), self.report_fields)
+                if (head := link.read_head) is not None:
+                    report = report_of(head, self.report_fields)
                     answer = replace(answer, report=report)
                     each = {ident: replace(one, report=report) for ident, one in each.items()}
                 if answer.outcome is not Outcome.OK:
--- a/linnetstile/net/link.py
+++ b/linnetstile/net/link.py
@@ -89,6 +89,12 @@
         """Guards the next call against a second answer that lies unread, or an end not yet noticed."""
         return not polled(self.transport, select.POLLIN | select.POLLRDHUP)
 
+    @property
+    def read_head(self) -> Head | None:
+        """The answer's head, if it has come whole."""
+        known = self.head.done() and not self.head.cancelled() and self.head.exception() is None
+        return self.head.result() if known else None
+
     def close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
