Drop a destination's forgotten lanes in place

Cause: _drop took the lanes out and put them back by an update with a conditional dictionary, which moved them. Change: they are replaced where they stand, and deleted if none is left.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -137,10 +137,11 @@
             door.lane.bad_since = now if door.lane.bad_since is None else door.lane.bad_since
             self.bare.add(door.entry.destination)
         for dest in [d for d in self.bare if d not in self.board.queues and d != door.entry.destination]:
-            known = {key: lane for key, lane in self.lanes.pop(dest).items() if not forgotten(lane, now)}
-            self.lanes.update({dest: known} if known else {})
-            if all(lane.doors for lane in known.values()):
+            kept = self.lanes[dest] = {k: v for k, v in self.lanes[dest].items() if not forgotten(v, now)}
+            if all(lane.doors for lane in kept.values()):
                 self.bare.discard(dest)
+            if not kept:
+                del self.lanes[dest]
 
     def _add(self, now: float, entry: Endpoint) -> None:
         dest, key = self._lane_key(entry)
