Tell an end over new connections and after short pauses, and again where it moves

Cause: a second try went over the next connection that was kept, which had fallen silent with the first; one pause of up to 0.95 s after failed requests held back all notices; what a replaced platform answered was relied upon. Change: second tries go over new connections, 80 ms apart for three; pauses are short while an end is urgent; after a change of address what was told in the last 2 s is told again.

--- a/linnetstile/net/outcomes.py
+++ b/linnetstile/net/outcomes.py
@@ -1,8 +1,8 @@
-"""Notices: how the platform learns the end of a message that was taken on and not delivered.
+"""Notices: how the platform learns the end of a message that was accepted and not delivered.
 
 Owns what is still to be told, and the connections for it. A notice that is not answered soon goes out once
-more on another connection while the first one is still waited for (hedging): the platform answers at
-once, so the connection has most likely fallen silent, and a notice told twice does no harm.
+more on a new connection while the first one is still waited for (hedging): the platform answers at once, so
+the connection has most likely fallen silent, and a notice told twice does no harm.
 """
 
 from __future__ import annotations
@@ -10,6 +10,8 @@
 import asyncio
 import json
 import logging
+import random
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -23,48 +25,83 @@
 # The platform answers at once: what takes longer than a connection made and a request answered over the
 # widest network (four times 110 ms one way) has fallen silent.
 ANSWER_S = 0.5
-# An end is told some 30 ms before its message's time is up, and counts as lost 300 ms after that: the second
-# and the third connection still come in time. Then longer pauses.
+# An end is told some 30 ms before its message's time is up, and counts as lost 300 ms after that: three more
+# connections still come in time. Then longer pauses.
 HEDGE_S, HEDGE_MOST_S = 0.08, 0.5
-WAYS = 4  # connections: one notice holds three at most while they say nothing, and the next finds another
+SHORT_HEDGES = 3
+TOGETHER_S = 0.03  # a second try so close to another's goes with it
+WAYS = 6  # connections: while one notice holds four that say nothing, the next finds another
+# An end counts as lost soon after its message's time, so the first tries after a failed request follow one
+# another quickly. Older notices wait for pauses that grow.
+URGENT_S = 0.6
+URGENT_PAUSE_S = 0.02, 0.06
+FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.05, 0.5
+RECENT_S = 2.0  # a replaced platform's answers of so late a time are not relied upon
+LATE_S = 0.25  # an answer that takes longer is logged
 
 
 @dataclass(slots=True)
 class Notice:
     line: str
-    due_at: float = 0.0  # on the loop's clock: when it goes out next
+    added_at: float  # on the loop's clock, as is the next
+    due_at: float  # when it goes out next
+    tries: int = 0
     hedge_s: float = HEDGE_S
 
 
+@dataclass(frozen=True, slots=True)
+class Told:
+    """A notice that the platform has answered."""
+
+    at: float
+    ident: str
+    line: str
+
+
 class Notices:
     """Sends each notice until it is answered 204: at least once, also over a restart (see the journal)."""
 
     def __init__(self, agent: Agent, told: Callable[[list[str]], None]) -> None:
         self.told = told
         self.waiting: dict[str, Notice] = {}
+        self.recent: deque[Told] = deque()  # answered of late, oldest first
         self.wake = asyncio.Event()
         self.batch = BATCH
-        self.backoff = Backoff(0.05, 0.5)
+        self.backoff = Backoff(FIRST_PAUSE_S, LONGEST_PAUSE_S)
         self.quiet_until = 0.0  # after a request that failed
         self.move(agent)
 
-    def add(self, ident: str, state: str, after_ms: float = 0.0) -> None:
+    def add(self, ident: str, state: str, after_ms: float = 0.0, delay_s: float = 0.0) -> None:
+        """Tells this end, so much later, until it is answered."""
         line: dict[str, object] = {"id": ident, "state": state}
         if after_ms > 0:
             line["after_ms"] = round(after_ms)
-        self.waiting[ident] = Notice(json.dumps(line) + "\n")
+        self._wait(ident, json.dumps(line) + "\n", delay_s)
+
+    def _wait(self, ident: str, line: str, delay_s: float = 0.0) -> None:
+        now = asyncio.get_running_loop().time()
+        self.waiting[ident] = Notice(line, now, now + delay_s)
         self.wake.set()
 
     def move(self, agent: Agent) -> None:
-        """What waits, or was out unanswered, goes to this agent."""
+        """What waits, or was out unanswered, goes to this agent. So does what the old one has answered of
+        late: it may have been replaced already, and what it was told then counts for nothing."""
         self.agent = agent
         self.ways = [agent] + [Agent(agent.address) for _ in range(WAYS - 1)]
         self.free = list(self.ways)  # the one that answered last comes first
+        for told in self._recently_told():
+            if told.ident not in self.waiting:
+                self._wait(told.ident, told.line)
         for notice in self.waiting.values():
             notice.due_at = 0.0
         self.quiet_until = 0.0
         self.wake.set()
 
+    def _recently_told(self) -> list[Told]:
+        while self.recent and self.recent[0].at < asyncio.get_running_loop().time() - RECENT_S:
+            self.recent.popleft()
+        return list(self.recent)
+
     def close(self) -> None:
         for way in self.ways:
             way.close()
@@ -78,18 +115,37 @@
                 if now < self.quiet_until:
                     await self._until(self.quiet_until)
                     continue
-                due = [ident for ident, notice in self.waiting.items() if notice.due_at <= now]
+                due = self._due(now)
                 while due and self.free:
-                    body = self._lines(due[: self.batch], now)
-                    requests.create_task(self._send(self.free.pop(0), due[: self.batch], body))
-                    del due[: self.batch]
+                    idents, due = due[: self.batch], due[self.batch :]
+                    way = self._way(again=any(self.waiting[ident].tries for ident in idents))
+                    requests.create_task(self._send(way, idents, self._lines(idents, now)))
                 later = [notice.due_at for notice in self.waiting.values() if notice.due_at > now]
                 await self._until(min(later, default=None))  # or until a connection is free again
 
+    def _due(self, now: float) -> list[str]:
+        """Those whose time has come, and the second tries whose time is near."""
+        due = [ident for ident, notice in self.waiting.items() if notice.due_at <= now]
+        if any(self.waiting[ident].tries for ident in due):
+            due = [ident for ident, notice in self.waiting.items()
+                   if notice.due_at <= now + (TOGETHER_S if notice.tries else 0.0)]
+        return due
+
+    def _way(self, again: bool) -> Agent:
+        """A connection that is free. For what goes out again it is a new one, and none that was kept is used
+        any more: connections to one place fall silent together."""
+        if again:
+            for way in self.free:
+                way.close()
+        return self.free.pop(0)
+
     def _lines(self, idents: list[str], now: float) -> bytes:
         for ident in idents:
             notice = self.waiting[ident]
-            notice.due_at, notice.hedge_s = now + notice.hedge_s, min(HEDGE_MOST_S, 2 * notice.hedge_s)
+            notice.tries += 1
+            if notice.tries > SHORT_HEDGES:
+                notice.hedge_s = min(HEDGE_MOST_S, 2 * notice.hedge_s)
+            notice.due_at = now + notice.hedge_s
         return "".join(self.waiting[ident].line for ident in idents).encode()
 
     async def _until(self, at: float | None) -> None:
@@ -124,14 +180,26 @@
             raise AgentError(f"{len(idents)} notices answered {status}")
         self.batch = min(BATCH, 2 * self.batch)
         self.backoff.reset()
-        told = [ident for ident in idents if self.waiting.pop(ident, None) is not None]
+        now = asyncio.get_running_loop().time()
+        told = []
+        for ident in idents:
+            if (notice := self.waiting.pop(ident, None)) is not None:
+                told.append(ident)
+                self.recent.append(Told(now, ident, notice.line))
+                if now > notice.added_at + LATE_S:
+                    log.info("notices: %s is told after %.0f ms, at try %d", ident,
+                             1000 * (now - notice.added_at), notice.tries)
+        self._recently_told()
         if told:
             self.told(told)
 
     def _failed(self, idents: list[str]) -> None:
-        """They go out again, and all others too, after a pause that grows from failure to failure."""
-        pause = self.backoff.next_s()
-        self.quiet_until = asyncio.get_running_loop().time() + pause
+        """They go out again after a pause: a short one while they are urgent, then one that grows from
+        failure to failure. New ones wait only for a short one: their time is up just now."""
+        now = asyncio.get_running_loop().time()
+        soon = now + random.uniform(*URGENT_PAUSE_S)
+        later = now + self.backoff.next_s()
+        self.quiet_until = soon
         for ident in idents:
-            if ident in self.waiting:
-                self.waiting[ident].due_at = self.quiet_until
+            if (notice := self.waiting.get(ident)) is not None:
+                notice.due_at = soon if now < notice.added_at + URGENT_S else max(soon, later)
