Tell an end again to a client that asks again, and after a restart

Cause: a request that came again under its id after its end was told was answered as accepted, and no end followed; what a killed process was answered, by whom, died with it. Change: the end is told once more behind the repeated answer, and by the next process while its time lasts (a notice told twice does no harm).

--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -41,6 +41,7 @@
 DEST_MS = 60_000.0  # a destination without endpoints is known for so long: past any message's time
 LOOK_S = 0.02
 TELL_MS = 150.0  # before its time an end is told whether it is on file or not
+TELL_AGAIN_S = 0.05  # an answer reaches its client before the notice that follows it reaches the platform
 SERVE_ON_S = 0.5  # after SIGTERM: connections go on coming for up to 0.4 s
 PART_S = 2.3  # after SIGTERM, where another process serves: clients move there between two requests
 NEWS_S = 1.5  # a process that comes beside another hears of changes first, but not for longer than this
@@ -289,7 +290,9 @@
 
     def _take_up(self, entry: Entry) -> None:
         now = clock.now_ms()
-        if entry.owes_notice:
+        if entry.owes_notice or entry.ends_by_notice and now < entry.due:
+            # Told again also where the earlier process was answered: by whom, and whether its client had
+            # heard by then, died with it.
             self.notices.add(entry.id, entry.end, entry.after_ms)
         elif not entry.end and entry.class_ not in self.classes:
             self.found.add(entry.id)
@@ -500,6 +503,7 @@
         if self.journal.knows(entry.id):
             if entry.id in self.numbers:
                 self.repeated.add(entry.id)
+            self._tell_again(entry.id)
             return Reply(202)  # also while it is under way: it is one message, however often it comes
         if len(self.held) >= self.settings.hold:
             traffic.info("message %s for %d: turned away, %d are held", entry.id, entry.dest, len(self.held))
@@ -617,6 +621,12 @@
                 del self.untold[entry.id]
                 self.notices.add(entry.id, entry.end, entry.after_ms)
 
+    def _tell_again(self, ident: str) -> None:
+        """For a client that asks again after the end was told: it waits for an end from this answer on."""
+        entry = self.journal.entries.get(ident)
+        if entry is not None and entry.ends_by_notice and entry.told and ident not in self.notices.waiting:
+            self.notices.add(ident, entry.end, entry.after_ms, TELL_AGAIN_S)
+
     def noticed(self, idents: list[str]) -> None:
         self._journal(lambda: self.journal.told(idents))
 
--- a/linnetstile/net/records.py
+++ b/linnetstile/net/records.py
@@ -45,9 +45,14 @@
     told: bool = False  # the platform has its notice
     given: bool = False  # to the relay's other process: nothing is written of it here any more
 
+    @property
+    def ends_by_notice(self) -> bool:
+        """Whether its end is one that the platform is told."""
+        return self.end in ("failed", "returned")
+
     @property
     def owes_notice(self) -> bool:
-        return self.end in ("failed", "returned") and not self.told
+        return self.ends_by_notice and not self.told
 
 
 def encode(record: dict[str, Any]) -> bytes:
