--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -12,8 +12,8 @@
 from .health import FADE_MS, OVERDUE, Ejections, averaged, doubt, forgotten, suspect
 from .interface import (
     Action, AttemptEnded, Closing, Duty, Effect, Elsewhere, Endpoint, EndpointList, Event, Fail, HandOver,
-    Learned, Listing, ListKind, ListUnconfirmed, Message, Mode, Outcome, Rates, Refuse, Scope, Send, SetTimer, Settings,
-    TimerFired, WaitTold, WatchList, Withdrawn,
+    Learned, Listing, ListKind, ListUnconfirmed, Message, Mode, Outcome, Rates, Refuse, Scope, Send, SetTimer,
+    Settings, TimerFired, WaitTold, WatchList, Withdrawn,
 )
 from .list_confirmation import ListConfirmation
 from .quotas import Quotas
--- a/linnetstile/interface.py
+++ b/linnetstile/interface.py
@@ -305,8 +305,8 @@
     why: ListDoubt
 
 
-Event = Union[EndpointList, ListUnconfirmed, Message, AttemptEnded, WaitTold, ProbeEnded, Withdrawn, TimerFired, Closing, Duty,
-              Elsewhere, Learned]
+Event = Union[EndpointList, ListUnconfirmed, Message, AttemptEnded, WaitTold, ProbeEnded, Withdrawn,
+              TimerFired, Closing, Duty, Elsewhere, Learned]
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/list_confirmation.py
+++ b/linnetstile/list_confirmation.py
@@ -3,15 +3,15 @@
 A process begins with the list of its configuration, and a change of discovery's address breaks its watch. In
 both cases news counts as told from a certain moment on, whether it has come or not, so no call may begin from
 then on until a list has come. The hold is bounded: whoever says nothing for so long has learned nothing.
-Sources: STANDING.md (pushed lists; after SIGHUP), PROTOCOL, "The rules on sockets" (lists that are asked for).
+Sources: STANDING.md (pushed lists; after SIGHUP), PROTOCOL, "The rules on sockets" (lists asked for).
 """
 
 from __future__ import annotations
 
 from .interface import ListDoubt
 
-STARTED_MS = 0.0  # after the start of a process: when its agent's news counts as told, where lists are pushed
-MOVED_MS = 3900.0  # the same after a change of address: 4 s, less the time between a clock's reading and a write
+STARTED_MS = 0.0  # from the start of a process until its agent's news counts as told, where lists are pushed
+MOVED_MS = 3900.0  # the same from a change of address on: 4 s, less what passes until a signal is handled
 HOLD_MS = 2000.0  # calls wait so long for a list; an agent answers in less, if its discovery is up
 
 
--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -31,6 +31,9 @@
 # N relays that come evenly over P are heard within 2 s if discovery works off N / (P + 2) calls a second.
 SPREAD_S, SPREAD_MOST_S = 0.12, 3.85  # the latter is P
 SOON_S = 2.0  # the most after a change of process or agent: news counts as told within 4 s of either
+# After a change of address news counts as told 4 s later, so a call that was turned away does not wait for
+# its turn in the round: pauses of so many seconds leave time for two more calls.
+MOVED_S = 0.4, 1.2
 FIRST_S, MOST_S = 0.05, 0.5  # pauses of a fleet of few after a failed call: they grow from one to the other
 PUSHED_S = 0.05  # and where the agent pushes lists: what it has counts as told without being asked for
 LISTINGS = {"ready": Listing.READY, "gone": Listing.GONE}  # whatever else gets nothing new
@@ -142,6 +145,7 @@
     ) -> None:
         self.agent, self.directory, self.told = agent, directory, told
         self.goes_on = False  # the next call goes on with a watch that has begun
+        self.moved = False  # to another agent, which has not answered yet
         if pushed:  # the agent is this relay's own: nobody else is kept waiting
             self.spread_s, self.backoff = 0.0, Backoff(PUSHED_S, PUSHED_S)
         else:
@@ -156,7 +160,7 @@
     def move(self, agent: Agent) -> None:
         """Another agent counts its versions anew: what it has is asked for whole."""
         self.hurry()
-        self.agent, self.directory.version, self.goes_on = agent, -1, False
+        self.agent, self.directory.version, self.goes_on, self.moved = agent, -1, False, True
 
     async def run(self) -> None:
         await asyncio.sleep(random.uniform(0.0, self.spread_s))
@@ -168,7 +172,7 @@
                 if version != self.directory.version:
                     log.info("discovery: version %d, %d entries", self.directory.version, len(event.entries))
                 self.backoff.reset()  # and at once again: a late call would begin a new watch
-                self.goes_on = version >= 0
+                self.goes_on, self.moved = version >= 0, False
             except (AgentError, ValueError) as error:
                 took_s = asyncio.get_running_loop().time() - asked
                 log.warning("discovery: %s, after %.0f ms", error, 1000 * took_s)
@@ -181,7 +185,9 @@
     async def _pause(self, took_s: float, silent: bool) -> None:
         """After a failed call that took so long. What a watch waits for news is no part of that."""
         went_on, self.goes_on = self.goes_on, False
-        if not silent:
+        if self.moved and self.spread_s > MOST_S:
+            await asyncio.sleep(random.uniform(*MOVED_S))
+        elif not silent:
             await self.backoff.pause(0.0 if went_on else took_s)
         elif went_on or self.spread_s <= MOST_S:
             await asyncio.sleep(random.uniform(0.0, min(AGAIN_S, self.spread_s)))
--- a/tests/test_discovery_return.py
+++ b/tests/test_discovery_return.py
@@ -185,3 +185,39 @@
         fleet = Fleet(relays, seed)
         run_virtual(fleet.play(lambda: None, 0.0))
         assert fleet.latest(1) <= TOLD_S and fleet.service.turned_away <= relays / 100
+
+
+MOVED_TOLD_S = 4.0  # after a change of discovery's address
+
+
+@pytest.mark.parametrize(("relays", "seeds"), [(6, 10), (20, 10), (200, 5)])
+def test_after_a_change_of_address_a_call_that_is_turned_away_at_once_is_made_again_in_time(
+    relays: int, seeds: int
+) -> None:
+    class FullOnce(Line):
+        turned_away = False
+
+        async def ask(self, method: str, target: str, body: bytes, seconds: float) -> tuple[int, bytes]:
+            if not self.turned_away:
+                self.turned_away = True
+                await asyncio.sleep(0.2)
+                return 503, b""
+            return await super().ask(method, target, body, seconds)
+
+    async def work(fleet: Fleet) -> None:
+        tasks = [asyncio.create_task(watch.run()) for watch in fleet.watches]
+        await asyncio.sleep(QUIET_S)
+        for task in tasks:
+            task.cancel()
+        fleet.service.change()
+        for watch in fleet.watches:
+            watch.move(FullOnce(fleet.service))
+        tasks = [asyncio.create_task(watch.run()) for watch in fleet.watches]
+        await asyncio.sleep(2 * MOVED_TOLD_S)
+        for task in tasks:
+            task.cancel()
+
+    for seed in range(seeds):
+        fleet = Fleet(relays, seed, all_in_s=2.0)
+        run_virtual(work(fleet))
+        assert fleet.latest(2) <= QUIET_S + MOVED_TOLD_S, seed
