Find each message past its time, end it, count it, and log its history

Cause: an exception in a turn dropped its events, one in an action the actions behind it, and nothing looked at a message again; a message's body was dropped before its end was on file, so a compaction and a kill between them left an empty one. Change: a watchdog looks at each message 50 ms after its time; what is left behind is ended by the decision module (Overdue), or as failed where that fails too, and counted (left_behind); each action is carried out by itself; histories are short, in memory, and printed for ends that are late, unclear or by the watchdog, and usual steps are logged only with RELAY_LOG_TRAFFIC=1. The count of background tasks in test_host is 7 for 6: the watchdog's is new.

--- a/linnetstile/__main__.py
+++ b/linnetstile/__main__.py
@@ -17,6 +17,8 @@
 log = logging.getLogger(__name__)
 
 
+# By RELAY_LOG_TRAFFIC: nothing of single messages, or also their usual steps.
+TRAFFIC_LEVELS = {"0": logging.WARNING, "1": logging.DEBUG}
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.02, 0.5  # between attempts to start
 
 
@@ -75,8 +77,8 @@
     # Guards against the default action, which ends the process, until the loop has a handler of its own.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
-    if os.environ.get("RELAY_LOG_TRAFFIC") == "0":
-        logging.getLogger("linnetstile.traffic").setLevel(logging.WARNING)
+    if (level := TRAFFIC_LEVELS.get(os.environ.get("RELAY_LOG_TRAFFIC", ""))) is not None:
+        logging.getLogger("linnetstile.traffic").setLevel(level)
     try:
         asyncio.run(serve())
     except ConfigError as error:
--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -12,8 +12,8 @@
 from .health import FADE_MS, OVERDUE, Ejections, averaged, doubt, forgotten, suspect
 from .interface import (
     Action, AttemptEnded, Closing, Duty, Effect, Elsewhere, Endpoint, EndpointList, Event, Fail, HandOver,
-    Learned, Listing, ListKind, ListUnconfirmed, Message, Mode, Outcome, Rates, Refuse, Scope, Send, SetTimer,
-    Settings, TimerFired, WaitTold, WatchList, Withdrawn,
+    Learned, Listing, ListKind, ListUnconfirmed, Message, Mode, Outcome, Overdue, Rates, Refuse, Scope, Send,
+    SetTimer, Settings, TimerFired, WaitTold, WatchList, Withdrawn,
 )
 from .list_confirmation import ListConfirmation
 from .quotas import Quotas
@@ -89,6 +89,8 @@
                     self.confirmation.doubt(now_ms, event.why)
                 case Withdrawn():
                     self._withdraw(event.id)
+                case Overdue():
+                    self._overdue(now_ms, event.id, acts)
                 case TimerFired():
                     self.timer_at = 0.0
                 case Closing():
@@ -257,6 +259,18 @@
             if held.out is None:
                 self.board.remove(held)
 
+    def _overdue(self, now: float, ident: int, acts: list[Action]) -> None:
+        """A fault of this program has lost its call or its timer. One that is not known here was lost before
+        it was accepted, or after its end was decided: nothing can be promised of it."""
+        held = self.board.held.get(ident)
+        if held is None:
+            acts.append(Fail(ident))
+            return
+        if held.out is not None:
+            self._ended(now, AttemptEnded(ident, held.tries - 1, held.out.entry.id, Outcome.TIMEOUT))
+        if ident in self.board.held:
+            self._end(now, held, acts)
+
     def _close_late(self, now: float, acts: list[Action]) -> None:
         """The deadline timer: ends what can no longer be delivered in time."""
         while self.ends and self.ends[0][0] <= now:
--- a/linnetstile/interface.py
+++ b/linnetstile/interface.py
@@ -250,6 +250,13 @@
     id: int
 
 
+@dataclass(frozen=True, slots=True)
+class Overdue:
+    """A message is past its time and still held: it ends now, whatever is known of its calls."""
+
+    id: int
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     token: int
@@ -306,7 +313,7 @@
 
 
 Event = Union[EndpointList, ListUnconfirmed, Message, AttemptEnded, WaitTold, ProbeEnded, Withdrawn,
-              TimerFired, Closing, Duty, Elsewhere, Learned]
+              Overdue, TimerFired, Closing, Duty, Elsewhere, Learned]
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -6,10 +6,12 @@
 import logging
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from functools import partial
+from typing import TypeVar
 
 from .. import interface as api
+from .. import liveness
 from ..control import Relay
 from . import clock
 from .agent import Agent
@@ -18,6 +20,7 @@
 from .discovery import Directory, Watch
 from .egress import UNSENT, Answer, Call, Egress, line_of
 from .figures import Figures
+from .history import History
 from .ingress import ACCEPTS, Ingress, Reply, Request
 from .invariants import LATE_MS, Invariants, Rule
 from .journal import Entry, Journal, JournalError
@@ -29,6 +32,7 @@
 from .replacement import Replacement
 from .system_errors import START_WAITS
 from .tasks import Tasks
+from .watchdog import Watchdog
 
 log = logging.getLogger(__name__)
 traffic = logging.getLogger("linnetstile.traffic")  # what recurs with each message or second
@@ -57,6 +61,15 @@
     entry: Entry
     attempts: int = 0  # sends of this process, as the module counts them
     call: asyncio.Task[None] | None = None
+    history: History = field(default_factory=History)
+
+
+T = TypeVar("T")
+
+
+def level_of(usual: bool) -> int:
+    """Usual steps are logged only where all of them are asked for: else they crowd out those that matter."""
+    return logging.DEBUG if usual else logging.INFO
 
 
 class Malformed(Exception):
@@ -98,6 +111,7 @@
                            config.settings.relays, not config.settings.ask_for_list)
         self.notices = Notices(Agent(config.discovery), self.noticed)
         self.tasks = Tasks()
+        self.watchdog = Watchdog(self._look_at)
         self.talks: list[asyncio.Task[None]] = []  # with the agent: the watch and the notices
         self.closed = False
         self.held: dict[int, Held] = {}
@@ -142,6 +156,7 @@
             self.watch.hurry()
         self._talk()
         self.tasks.start(self._sweep())
+        self.tasks.start(self.watchdog.run())
         self.tasks.start(self._look_at_pool())
         self.tasks.start(self._follow())
         self.tasks.start(self.ingress.watch())
@@ -389,7 +404,7 @@
         self.turns, self.turns_ms = 0, 0.0
         for dest, queue in self.relay.board.queues.items():
             lanes = [str(lane) for lane in self.relay.lanes.get(dest, {}).values()]
-            traffic.info("%d wait for %d: %s", len(queue), dest, "; ".join(lanes))
+            traffic.debug("%d wait for %d: %s", len(queue), dest, "; ".join(lanes))
 
     def _know_dests(self) -> None:
         """One whose endpoints are all being replaced is still known; one long gone is forgotten."""
@@ -418,11 +433,37 @@
             log.exception("the module failed on %r", events)
             actions = [api.SetTimer(1000.0, 0)]
         self.turns, self.turns_ms = self.turns + 1, self.turns_ms + self.now() - self.last_turn
+        # Each by itself: a fault in one must not stop the others. What it leaves behind the watchdog finds.
         for action in actions:
-            self._act(action)
-        self._call_out([action for action in actions if isinstance(action, api.Send)])
-        self._give([action.id for action in actions if isinstance(action, api.HandOver)])
-        self.replacement.after_turn(events)
+            self._guarded(self._act, action)
+        self._guarded(self._call_out, [action for action in actions if isinstance(action, api.Send)])
+        self._guarded(self._give, [action.id for action in actions if isinstance(action, api.HandOver)])
+        self._guarded(self.replacement.after_turn, events)
+
+    @staticmethod
+    def _guarded(step: Callable[[T], None], what: T) -> None:
+        try:
+            step(what)
+        except Exception:
+            log.exception("a step of a turn failed on %r", what)
+
+    def _look_at(self, number: int, entry: Entry) -> None:
+        """Soon after its time: whether a message was left behind. Then it ends now, and tells its history."""
+        held = self.held.get(number)
+        if held is not None:
+            self.invariants.check(Rule.LEFT_BEHIND, False, f"{entry.id}: {held.history.text(entry.since)}")
+            call = held.call
+            self._turn_now([api.Overdue(number)])
+            if number in self.held:
+                self._over(number, liveness.LAST_RESORT)
+            if call is not None:
+                call.cancel()
+        elif entry.owes_notice and not self._is_on_its_way(entry):
+            self.invariants.check(Rule.LEFT_BEHIND, False, f"{entry.id}: {entry.end}, and nobody tells it")
+            self.notices.add(entry.id, entry.end, entry.after_ms)
+
+    def _is_on_its_way(self, entry: Entry) -> bool:
+        return entry.given or entry.id in self.untold or entry.id in self.notices.waiting
 
     def _call_out(self, sends: list[api.Send]) -> None:
         """A turn's sends to one endpoint share calls, up to its kind's batch: the module counts on it."""
@@ -437,6 +478,7 @@
                 task = self.tasks.start(self._call(group, endpoint, until, keep))
                 for _, held in group:
                     held.attempts, held.call = held.attempts + 1, task
+                    held.history.add("call to", endpoint)
 
     def _act(self, action: api.Action) -> None:
         match action:
@@ -515,7 +557,7 @@
             log.warning("refused a message: %s", error)
             self.figures.ended(entry.class_, "returned")
             return Reply(503, str(error), retry_s=RETRY_S)
-        traffic.info("message %s for %d: taken on, %.0f ms left, key %s%s", entry.id, entry.dest,
+        traffic.debug("message %s for %d: taken on, %.0f ms left, key %s%s", entry.id, entry.dest,
                  entry.due - entry.since, entry.key, ", second try " * bool(entry.again) + entry.again)
         self.invariants.check(Rule.ACCEPTED_ON_FILE, not self.journal.waiting, entry.id)
         self._hold(entry)
@@ -555,7 +597,9 @@
     def _hold(self, entry: Entry, age_ms: float | None = None, tries: int = 0,
               risk_age_ms: float | None = None, risk: api.Endpoint | None = None) -> None:
         self.last_number += 1
-        self.held[self.last_number] = Held(entry)
+        held = self.held[self.last_number] = Held(entry)
+        held.history.add("accepted" if age_ms is None else "taken up")
+        self.watchdog.add(self.last_number, entry)
         self.figures.gauges["active"] = len(self.held)
         self.numbers[entry.id] = self.last_number
         self._feed(api.Message(
@@ -588,7 +632,6 @@
         if held is not None:
             self.numbers.pop(held.entry.id, None)
             self.repeated.discard(held.entry.id)
-            held.entry.body = b""
             if held.call is not None:
                 self.leaving.add(held.entry.id)
 
@@ -596,15 +639,19 @@
         held = self.held.get(number)
         if held is not None:
             self._let_go(number)
-            self._end(held.entry, state, after_ms)
+            self._end(held.entry, state, after_ms, held.history)
 
-    def _end(self, entry: Entry, state: str, after_ms: float = 0.0) -> None:
-        traffic.info("message %s for %d: %s after %.0f ms, %d tries, come again in %.0f ms", entry.id,
-                     entry.dest, state, clock.now_ms() - entry.since, entry.tries, after_ms)
+    def _end(self, entry: Entry, state: str, after_ms: float = 0.0, history: History | None = None) -> None:
+        traffic.log(level_of(state in ("delivered", "over")),
+                    "message %s for %d: %s after %.0f ms, %d tries, come again in %.0f ms", entry.id,
+                    entry.dest, state, clock.now_ms() - entry.since, entry.tries, after_ms)
         self.invariants.check(Rule.ONE_END, not entry.end, f"{entry.id}: {entry.end}, then {state}")
         late_ms = clock.now_ms() - entry.due
         in_time = late_ms < LATE_MS or entry.id in self.found
         self.invariants.check(Rule.END_IN_TIME, in_time, f"{entry.id}: {state}, {late_ms:.0f} ms late")
+        unclear = state == "failed" and entry.risk is not None
+        if history is not None and (unclear or not in_time):
+            log.info("message %s: %s", entry.id, history.text(entry.since))
         self.found.discard(entry.id)
         self.figures.ended(entry.class_, state)
         on_file = self._journal(lambda: self.journal.ended(entry, state, after_ms))
@@ -696,15 +743,18 @@
         entry, held.call = held.entry, None
         self.leaving.discard(entry.id)
         self.sent.discard(entry.id)
+        held.history.add(answer.outcome.value, answer.on)
         told = " ".join(f"{value:.2f}" for value in answer.report)
-        traffic.info("message %s for %d: try %d at %d, %.0f ms after it came: %s after %.0f ms, "
-                     "wait %.0f ms, told %s%s",
-                 entry.id, entry.dest, attempt, endpoint, clock.now_ms() - entry.since - took,
-                 answer.outcome.value, took, answer.wait_ms, told, answer.on)
-        if self.journal.entries.get(entry.id) is entry:
+        traffic.log(level_of(answer.outcome is api.Outcome.OK),
+                    "message %s for %d: try %d at %d, %.0f ms after it came: %s after %.0f ms, "
+                    "wait %.0f ms, told %s%s",
+                    entry.id, entry.dest, attempt, endpoint, clock.now_ms() - entry.since - took,
+                    answer.outcome.value, took, answer.wait_ms, told, answer.on)
+        if self.journal.entries.get(entry.id) is entry and not entry.end:  # the watchdog may have ended it
             if answer.over:
                 self._let_go(number)
-                self._end(entry, "delivered" if answer.outcome is api.Outcome.OK else "over")
+                self._end(entry, "delivered" if answer.outcome is api.Outcome.OK else "over", 0.0,
+                          held.history)
             elif entry.out is not None:
                 self._journal(lambda: self.journal.outcome(entry, not answer.outcome.proves_no_effect))
         self._feed(api.AttemptEnded(number, attempt, endpoint, answer.outcome, took, answer.over,
--- a/linnetstile/net/invariants.py
+++ b/linnetstile/net/invariants.py
@@ -26,6 +26,7 @@
     ONE_ATTEMPT = "one_attempt"  # never are two attempts of one message out
     ONE_END = "one_end"  # a message ends once
     END_IN_TIME = "end_in_time"  # and in its time
+    LEFT_BEHIND = "left_behind"  # every held message has a call out, a timer, or an end on its way
     ANSWERED = "answered"  # a client's request is never closed with no answer by this side
 
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -334,7 +334,7 @@
             relay_.handle(host.now() + 60_000.0, [])
             relay_._drop(host.now() + 60_000.0, relay_.doors.pop(next(iter(relay_.doors))))
             assert len(relay_.lanes) <= 1
-            assert len(host.tasks.running) == 6  # watch, notices, two that sweep, two that look
+            assert len(host.tasks.running) == 7  # watch, notices, watchdog, two that sweep, two that look
     run(work())
 
 
