Add a package that soaks real relays under overlapping faults, with a judge

Cause: the soak before had one destination, no calls of several messages, no series of kills, no moved discovery and a lenient judge. The shim for failing calls moves there from the tests.

--- /dev/null
+++ b/linnetstile/soak/client.py
@@ -0,0 +1,151 @@
+"""Clients of one relay: keep their connections, wait 0.4 s for an answer, and hand in again what failed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .ledger import HandIn, Ledger
+
+PATIENCE_S = 0.4  # for the answer that takes a message on (PROTOCOL, "Clients to relays")
+MOST_AGAIN = 2  # further handings-in of one message
+PAUSE_S = 0.05, 0.5  # before each
+BODY_BYTES = 1, 400
+LEFT_MS = [800, 2000, 4000, 6000]
+ACCEPTED = (200, 202)
+
+
+class Again(Enum):
+    """How a client marks what it hands in again."""
+
+    NO = ""
+    REFUSED = "1"
+    UNANSWERED = "again"
+
+
+class Closed(Exception):
+    """The relay closed the connection with no answer."""
+
+
+@dataclass
+class Connection:
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def ask(self, data: bytes) -> tuple[int, bool]:
+        """Status, and whether the connection stays. Closed, or OSError."""
+        self.writer.write(data)
+        try:
+            head = (await self.reader.readuntil(b"\r\n\r\n")).lower()
+            length = int(head.split(b"content-length: ")[1].split(b"\r\n")[0])
+            await self.reader.readexactly(length)
+        except asyncio.IncompleteReadError as error:
+            raise Closed from error
+        return int(head.split()[1]), b"connection: close" not in head
+
+
+@dataclass
+class Clients:
+    """Hands in messages at one relay's address."""
+
+    relay: int
+    port: int
+    destinations: list[int]
+    classes: list[str]
+    ledger: Ledger
+    rng: random.Random
+    was_killed: Callable[[float], bool]  # whether the relay's process was killed, or down, since that time
+    idle: list[Connection] = field(default_factory=list)
+    number: int = 0
+
+    async def run(self, until: float, per_s: float) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            while time.monotonic() < until:
+                await asyncio.sleep(self.rng.expovariate(per_s))
+                tasks.create_task(self._message())
+        self.close()
+
+    async def crowd(self, count: int, seconds: float) -> None:
+        """So many idle connections for so long."""
+        opened = []
+        for _ in range(count):
+            try:
+                opened.append((await asyncio.open_connection("127.0.0.1", self.port))[1])
+            except OSError:
+                break
+        await asyncio.sleep(seconds)
+        for writer in opened:
+            writer.close()
+
+    def close(self) -> None:
+        for connection in self.idle:
+            connection.writer.close()
+        self.idle.clear()
+
+    async def _message(self) -> None:
+        self.number += 1
+        name, class_ = f"r{self.relay}-{self.number}", self.rng.choice(self.classes)
+        destination, again = self.rng.choice(self.destinations), Again.NO
+        due = time.monotonic() + self.rng.choice(LEFT_MS) / 1000
+        for turn in range(1 + MOST_AGAIN):
+            left_ms = int((due - time.monotonic()) * 1000)
+            if left_ms <= 0:
+                return
+            hand_in = HandIn(f"{name}.{turn}", self.relay, class_, destination,
+                             time.monotonic() + left_ms / 1000)
+            self.ledger.hand_ins[hand_in.ident] = hand_in
+            status = await self._hand_in(hand_in, self._request(hand_in, name, left_ms, again))
+            if status in ACCEPTED:
+                return
+            again = Again.UNANSWERED if status is None else Again.REFUSED
+            await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+
+    def _request(self, hand_in: HandIn, name: str, left_ms: int, again: Again) -> bytes:
+        body = self.rng.randbytes(self.rng.randrange(*BODY_BYTES))
+        headers = [
+            "Host: origin.svc", f"X-Trace-Id: {hand_in.ident}", f"X-Qos: {hand_in.class_}",
+            f"X-Customer: {self.rng.choice(['t', 'u'])}", f"X-Expires-In-Ms: {left_ms}",
+            f"X-Addressing: dest={hand_in.destination}", f"Content-Length: {len(body)}"]
+        if hand_in.class_ == "keyed":
+            headers.append(f"Idempotency-Key: k-{name}")
+        if again is not Again.NO:
+            headers.append(f"X-Second-Try: {again.value}")
+        return "\r\n".join([f"POST /{hand_in.class_} HTTP/1.1", *headers, "", ""]).encode() + body
+
+    async def _hand_in(self, hand_in: HandIn, data: bytes) -> int | None:
+        """The answer's status; None: none came in time."""
+        began = time.monotonic()
+        connection = self.idle.pop() if self.idle else None
+        kept = connection is not None
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                while True:
+                    connection = connection or Connection(
+                        *await asyncio.open_connection("127.0.0.1", self.port))
+                    try:
+                        status, stays = await connection.ask(data)
+                        break
+                    except (Closed, ConnectionError):
+                        connection.writer.close()
+                        if not kept:
+                            raise
+                        connection, kept = None, False  # the close crossed the request: once more
+        except (Closed, ConnectionResetError, BrokenPipeError) as error:
+            if not self.was_killed(began):
+                self.ledger.seen.append(f"lost: {hand_in.ident} is closed with no answer ({error!r})")
+            return None
+        except (OSError, TimeoutError):
+            if connection is not None:
+                connection.writer.close()
+            return None
+        if status in ACCEPTED:
+            hand_in.heard_at = time.monotonic()
+        if stays:
+            self.idle.append(connection)
+        else:
+            connection.writer.close()
+        return status
--- a/tests/fault_process.py
+++ b/linnetstile/soak/fault_process.py
@@ -1,10 +1,10 @@
 """The relay as `run` starts it, in a process whose clock and system calls fail as a file says.
 
-`python -m tests.fault_process` with FAULTS naming a JSON file. It is read at each intercepted call, so that a
-test changes the faults while the relay runs. Its keys: `wall_s` (seconds added to the wall clock) and
-names of calls, each with a list [kind, every]: every so many such calls one fails. A kind is the name of an
-errno, or for `write` "half" (half of the bytes are written) or "torn" (half are, then ENOSPC). Calls on files
-fail only in the folder of RELAY_STATE.
+`python -m linnetstile.soak.fault_process` with FAULTS naming a JSON file. It is read at each intercepted
+call, so that a test changes the faults while the relay runs. Its keys: `wall_s` (seconds added to the wall
+clock) and names of calls, each with a list [kind, every]: every so many such calls one fails. A kind is the
+name of an errno, or for `write` "half" (half of the bytes are written) or "torn" (half are, then ENOSPC).
+Calls on files fail only in the folder of RELAY_STATE.
 """
 
 from __future__ import annotations
@@ -123,7 +123,7 @@
     patch_files(faults)
     patch_sockets(faults)
     time.time = lambda: faults.time() + float(faults.read().get("wall_s", 0.0))
-    from linnetstile.__main__ import main as serve
+    from ..__main__ import main as serve
 
     return serve()
 
--- /dev/null
+++ b/linnetstile/soak/stand_in.py
@@ -0,0 +1,154 @@
+"""An HTTP/1.1 server of this project's own that can refuse, fall silent and break off as a peer may."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+import h11
+
+READ_BYTES = 65536
+
+
+@dataclass(slots=True)
+class Request:
+    """One request as it came. Times are seconds on the monotonic clock."""
+
+    target: str
+    headers: dict[str, str]  # names in lower case
+    connection: Connection
+    begun_at: float  # its first byte
+    body: bytes = b""
+    whole_at: float = 0.0  # its last byte
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    cut_at: int | None = None  # only so many of its bytes are written, then the connection is reset
+
+    def encoded(self) -> bytes:
+        lines = [f"HTTP/1.1 {self.status} X", f"Content-Length: {len(self.body)}",
+                 *(f"{name}: {value}" for name, value in self.headers), "", ""]
+        return "\r\n".join(lines).encode() + self.body
+
+
+@dataclass(eq=False, slots=True)
+class Connection:
+    """One connection, from the server's side."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    silent: bool = False  # nothing is read from it or written to it any more
+
+    @property
+    def ended(self) -> bool:
+        """Whether the other side has ended it."""
+        return self.reader.at_eof() or self.reader.exception() is not None or self.writer.is_closing()
+
+    def reset(self) -> None:
+        self.writer.transport.abort()
+
+
+@dataclass
+class StandIn:
+    """Answers each request with what `reply` returns; None resets the connection unanswered."""
+
+    address: tuple[str, int] = ("127.0.0.1", 0)
+    connections: set[Connection] = field(default_factory=set)
+    silent: bool = False  # also to connections that are begun now
+    server: asyncio.Server | None = None
+
+    async def listen(self) -> None:
+        """Serves at its address; it keeps its port from the first time on."""
+        self.server = await asyncio.start_server(self._serve, *self.address)
+        self.address = self.server.sockets[0].getsockname()[:2]
+
+    def refuse(self) -> None:
+        """Resets its connections, and lets no new one begin until `listen`."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        self.reset_all()
+
+    def reset_all(self) -> None:
+        for connection in list(self.connections):
+            connection.reset()
+
+    def silence_open(self) -> None:
+        """Nothing comes on the connections of now any more; new ones do well."""
+        for connection in self.connections:
+            connection.silent = True
+
+    def cut(self) -> None:
+        """It says nothing any more on any connection, and reads nothing."""
+        self.silent = True
+        self.silence_open()
+
+    def mend(self) -> None:
+        """After a cut: its connections of before are reset."""
+        self.silent = False
+        self.reset_all()
+
+    async def reply(self, request: Request) -> Response | None:
+        raise NotImplementedError
+
+    def written(self, request: Request, response: Response) -> None:
+        """Called right after a whole answer was written to a connection that the other side still has."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = Connection(reader, writer, self.silent)
+        self.connections.add(connection)
+        try:
+            while (request := await read_request(connection)) is not None:
+                response = await self.reply(request)
+                if connection.silent:
+                    await asyncio.sleep(float("inf"))
+                if response is None:
+                    connection.reset()
+                    return
+                self._write(request, response)
+        except (ConnectionError, asyncio.CancelledError, h11.RemoteProtocolError):
+            pass
+        finally:
+            self.connections.discard(connection)
+            writer.close()
+
+    def _write(self, request: Request, response: Response) -> None:
+        connection = request.connection
+        if connection.ended:
+            connection.reset()  # the request was given up: nothing counts as written
+            return
+        data = response.encoded()
+        if response.cut_at is not None:
+            connection.writer.write(data[: response.cut_at])
+            connection.writer.close()
+            return
+        connection.writer.write(data)
+        self.written(request, response)
+
+
+async def read_request(connection: Connection) -> Request | None:
+    """The next request; None once the other side ends its sending. ConnectionError as of reading."""
+    http, request, begun_at = h11.Connection(h11.SERVER), None, 0.0
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            data = await connection.reader.read(READ_BYTES)
+            if connection.silent:
+                await asyncio.sleep(float("inf"))
+            begun_at = begun_at or time.monotonic()
+            http.receive_data(data)
+        elif isinstance(event, h11.Request):
+            headers = {name.decode().lower(): value.decode() for name, value in event.headers}
+            request = Request(event.target.decode(), headers, connection, begun_at)
+        elif isinstance(event, h11.Data) and request is not None:
+            request.body += event.data
+        elif isinstance(event, h11.EndOfMessage) and request is not None:
+            request.whole_at = time.monotonic()
+            return request
+        else:
+            return None
--- /dev/null
+++ b/linnetstile/soak/trouble.py
@@ -0,0 +1,182 @@
+"""Everything that goes wrong in a soak: one coroutine for each kind of trouble, drawn and overlapping."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from .client import Clients
+from .endpoint import Endpoint
+from .ledger import Ledger
+from .platform import MOVED_S, Listing, Platform
+from .relay import RelayProcess
+
+PAUSE_S = 0.3, 2.0  # between the beginnings of two troubles
+REFUSED_S = 3.0, 10.0
+CUT_S = 1.0, 6.0
+MOOD_S = 1.0, 5.0
+FOLDER_S = 0.1, 1.0
+DRAINS_S = 0.5, 6.0  # from draining to gone
+SERIES_S = 0.02, 1.5  # from a start to the next kill
+HUP_TO_KILL_S = 0.02, 0.5
+CROWD = 120
+FILE_FAULTS = [("write", "ENOSPC"), ("write", "EIO"), ("write", "half"), ("write", "torn"), ("rename", "EIO"),
+               ("open", "EIO")]
+CALL_FAULTS = [("accept", "ENFILE"), ("accept", "ECONNABORTED"), ("socket", "EMFILE"),
+               ("connect", "EADDRNOTAVAIL"), ("connect", "ENETUNREACH"), ("setsockopt", "EINVAL"),
+               ("short_send", "EAGAIN")]
+# A message whose record the folder has refused cannot outlive its process: DEPLOY promises a folder that can
+# be written. So no kill falls into a spell in which it cannot, nor before the next look at what waits.
+FOLDER_SETTLES_S = 0.3
+
+
+@dataclass
+class Troubles:
+    rng: random.Random
+    relays: list[RelayProcess]
+    clients: list[Clients]
+    endpoints: list[Endpoint]
+    listing: Listing
+    ledger: Ledger
+    new_endpoint: Callable[[Endpoint], Awaitable[Endpoint]]
+    folder_fails: bool = True
+
+    async def run(self, until: float) -> None:
+        kinds = [self.kills, self.kills, self.term, self.moved_and_killed, self.moved_and_killed,
+                 self.refused_destination, self.cut_endpoint, self.mood, self.mood, self.replaced_endpoint,
+                 self.replaced_endpoint, self.silent_platform, self.silent_platform, self.reset_platform,
+                 self.clock, self.failing_calls, self.crowd]
+        if self.folder_fails:
+            kinds += [self.failing_folder, self.start_on_a_failing_folder]
+        async with asyncio.TaskGroup() as tasks:
+            while time.monotonic() < until:
+                await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+                kind = self.rng.choice(kinds)
+                self.ledger.faults[kind.__name__] += 1
+                tasks.create_task(kind())
+
+    def _series(self) -> list[float]:
+        return [self.rng.uniform(*SERIES_S) for _ in range(self.rng.choice([0, 0, 1, 2, 3]))]
+
+    def _relay(self) -> RelayProcess:
+        return self.rng.choice(self.relays)
+
+    # -- relays ------------------------------------------------------------------------------------------
+
+    async def kills(self) -> None:
+        relay = self._relay()
+        async with relay.busy:
+            await relay.restart(signal.SIGKILL, self._series())
+
+    async def term(self) -> None:
+        relay = self._relay()
+        async with relay.busy:
+            await relay.restart(signal.SIGTERM, self._series())
+
+    async def moved_and_killed(self) -> None:
+        """Discovery moves; in two of three cases the process is killed right behind the signal."""
+        relay = self._relay()
+        async with relay.busy:
+            successor = Platform(relay=relay.number, listing=self.listing, ledger=self.ledger)
+            await successor.listen()
+            old = relay.platform
+            await relay.move_discovery(successor)
+            moved_at = time.monotonic()
+            await asyncio.sleep(self.rng.uniform(*HUP_TO_KILL_S))
+            if self.rng.random() < 0.67:
+                await relay.restart(signal.SIGKILL, self._series())
+            await old.end_as_replaced()
+            await asyncio.sleep(max(0.0, moved_at + MOVED_S - time.monotonic()))
+            successor.tell(self.listing.since(-1)["instances"], moved_at + MOVED_S)
+
+    async def clock(self) -> None:
+        self._relay().set_failing(wall_s=self.rng.choice([-3600.0, -5.0, 0.0, 5.0, 3600.0]))
+
+    async def failing_folder(self) -> None:
+        relay = self._relay()
+        async with relay.busy:
+            await self._fail(relay, self.rng.choice(FILE_FAULTS), [1, 2, 5], self.rng.uniform(*FOLDER_S))
+            await asyncio.sleep(FOLDER_SETTLES_S)
+
+    async def start_on_a_failing_folder(self) -> None:
+        relay = self._relay()
+        async with relay.busy:
+            name, kind = self.rng.choice([("open", "EIO"), ("pread", "EIO"), ("write", "ENOSPC")])
+            restarted = asyncio.create_task(relay.restart(signal.SIGKILL, []))
+            await asyncio.sleep(0.3)
+            await self._fail(relay, (name, kind), [1, 2], self.rng.uniform(0.5, 1.5))
+            await restarted
+            await asyncio.sleep(FOLDER_SETTLES_S)
+
+    async def failing_calls(self) -> None:
+        await self._fail(self._relay(), self.rng.choice(CALL_FAULTS), [1, 2, 3], self.rng.uniform(0.1, 0.5))
+
+    async def _fail(
+        self, relay: RelayProcess, fault: tuple[str, str], every: list[int], seconds: float
+    ) -> None:
+        name, kind = fault
+        relay.set_failing(**{name: [kind, self.rng.choice(every)]})
+        await asyncio.sleep(seconds)
+        relay.set_failing(**{name: None})
+
+    async def crowd(self) -> None:
+        await self.rng.choice(self.clients).crowd(CROWD, self.rng.uniform(1.0, 4.0))
+
+    # -- platform ----------------------------------------------------------------------------------------
+
+    async def silent_platform(self) -> None:
+        """All connections that one relay, or each, has to the platform at this moment fall silent."""
+        for relay in self.rng.choice([self.relays, [self._relay()]]):
+            relay.platform.silence_open()
+
+    async def reset_platform(self) -> None:
+        for relay in self.relays:
+            relay.platform.reset_all()
+
+    # -- endpoints ---------------------------------------------------------------------------------------
+
+    def _of_one_destination(self) -> list[Endpoint]:
+        destination = self.rng.choice(self.endpoints).destination
+        return [each for each in self.endpoints if each.destination == destination]
+
+    async def refused_destination(self) -> None:
+        hit = self._of_one_destination()
+        for endpoint in hit:
+            endpoint.refuse()
+        await asyncio.sleep(self.rng.uniform(*REFUSED_S))
+        for endpoint in hit:
+            if endpoint.server is None and endpoint in self.endpoints:
+                await endpoint.listen()
+
+    async def cut_endpoint(self) -> None:
+        endpoint = self.rng.choice(self.endpoints)
+        endpoint.cut()
+        await asyncio.sleep(self.rng.uniform(*CUT_S))
+        endpoint.mend()
+
+    async def mood(self) -> None:
+        hit = self.rng.choice([[self.rng.choice(self.endpoints)], self._of_one_destination()])
+        for endpoint in hit:
+            endpoint.mood = self.rng.choice(["rough", "rough", "failing", "hanging"])
+        await asyncio.sleep(self.rng.uniform(*MOOD_S))
+        for endpoint in hit:
+            endpoint.mood = "well"
+
+    async def replaced_endpoint(self) -> None:
+        """Drains while calls are out on it, is gone a little later, and another takes its place."""
+        old = self.rng.choice(self.endpoints)
+        self.endpoints.remove(old)
+        new = await self.new_endpoint(old)
+        self.endpoints.append(new)
+        self.listing.change(old, "draining")
+        if self.rng.random() < 0.5:
+            await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+        self.listing.change(new, "ready")
+        await asyncio.sleep(self.rng.uniform(*DRAINS_S))
+        self.listing.change(old, "gone")
+        await asyncio.sleep(1.0)
+        old.refuse()
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -49,7 +49,7 @@
         env = {**os.environ, "RELAY_CONFIG": str(self.config), "FAULTS": str(self.faults), **more}
         with (self.log or Path(os.devnull)).open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "tests.fault_process", env=env, cwd=ROOT,
+                sys.executable, "-m", "linnetstile.soak.fault_process", env=env, cwd=ROOT,
                 stderr=log if self.log else None)
         self.begun.append(self.process)
 
