--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -239,3 +239,35 @@
     file.append(b"kept\n")
     assert file.path.read_bytes() == b"kept\n"
     file.close()
+
+
+def test_a_record_that_waits_does_not_keep_the_others_of_its_kind_from_memory(tmp_path: Path) -> None:
+    """Ends that were told, and messages that were given away, are many at once: the first record that the
+    folder refuses must not leave the others untold, or with neither process."""
+    journal = Journal(tmp_path, DISK)
+    idents = [f"m{number}" for number in range(150)]  # more than one record names
+    for ident in idents:
+        journal.take(entry(ident))
+    for ident in idents[:2]:
+        journal.ended(journal.entries[ident], "failed")
+    with fault("write"):
+        with pytest.raises(JournalError):
+            journal.told(idents[:2])
+        with pytest.raises(JournalError):
+            journal.give([journal.entries[ident] for ident in idents[2:]])
+    for known in (journal.entries, reopened(journal, tmp_path).entries):
+        assert [ident for ident in idents if not known[ident].told and not known[ident].given] == []
+
+
+def test_what_is_taken_back_is_held_or_still_given_away_wherever_the_folder_fails(tmp_path: Path) -> None:
+    journal, found = Journal(tmp_path, DISK), list[str]()
+    for ident in ("a", "b"):
+        journal.take(entry(ident))
+    journal.give(list(journal.entries.values()))
+    writes = [os.write, failing]
+    with fault("write", lambda file, data: writes.pop(0)(file, data)), pytest.raises(JournalError):
+        for each in journal.taken_back():
+            found.append(each.id)
+    assert found == ["a"]
+    assert not journal.entries["a"].given and journal.entries["b"].given
+    journal.close()
