--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -14,6 +14,7 @@
 import os
 import re
 from collections import deque
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -217,15 +218,15 @@
         other.taken.add(entry.id)
         return mine if new else None
 
-    def taken_back(self) -> list[Entry]:
+    def taken_back(self) -> Iterator[Entry]:
         """What was given away, and the one that was to take it has ended without. What it had written down
         comes from its file (`taken_up`), which tells how far it got."""
         theirs = {entry.id for other in self.others.values() for entry in other.left()}
         back = [] if self.living else [resumed(entry) for entry in self.entries.values()
                                        if entry.given and entry.id not in theirs]
-        for entry in back:
+        for entry in back:  # one by one: whoever asks holds each before the next may fail
             self.take(entry)
-        return back
+            yield entry
 
     def knows(self, ident: str) -> bool:
         """Whether either process has it, or had it of late."""
@@ -238,8 +239,8 @@
         """Forgets what the taker has written down, and the files of the dead that hold nothing more; whether
         that was all."""
         given = [entry for entry in self.entries.values() if entry.given]
-        for some in in_parts([entry for entry in given if self._is_theirs(entry)]):
-            self._record({"k": "handed", "ids": [entry.id for entry in some]})
+        self._record(*({"k": "handed", "ids": [entry.id for entry in some]}
+                       for some in in_parts([entry for entry in given if self._is_theirs(entry)])))
         for other in [other for other in self.others.values() if other.dead and not other.left()]:
             other.close(unlink=True)
             del self.others[other.number]
@@ -252,8 +253,7 @@
         return any(each is not None and not each.given for each in theirs)
 
     def give(self, entries: list[Entry]) -> None:
-        for some in in_parts(entries):
-            self._record({"k": "give", "ids": [entry.id for entry in some]})
+        self._record(*({"k": "give", "ids": [entry.id for entry in some]} for some in in_parts(entries)))
 
     def says_role(self, role: str) -> None:
         self._record({"k": "role", "role": role})
@@ -289,9 +289,7 @@
         self._record({"k": "end", "id": entry.id, "state": state, "after": after_ms})
 
     def told(self, idents: list[str]) -> None:
-        for ident in idents:
-            if ident in self.entries:
-                self._record({"k": "told", "id": ident})
+        self._record(*({"k": "told", "id": ident} for ident in idents if ident in self.entries))
 
     def withdrawn(self, ident: str) -> None:
         """Said also of one that was given away: its taker reads it here."""
@@ -315,12 +313,14 @@
 
     # -- memory ------------------------------------------------------------------------------------------
 
-    def _record(self, record: dict[str, Any]) -> None:
-        """The change holds in memory at once, and on file as soon as the folder takes it; JournalError says
+    def _record(self, *records: dict[str, Any]) -> None:
+        """All changes hold in memory at once, and on file as soon as the folder takes them; JournalError says
         that it does not yet."""
-        self._make_room(len(encode(record)) + STAMP)  # before the change: one after it would count it twice
-        self._change(record)
-        self._flushed()
+        for record in records:
+            self._make_room(len(encode(record)) + STAMP)  # before the change: else it would count twice
+            self._change(record)
+        if records:
+            self._flushed()
 
     def _change(self, record: dict[str, Any]) -> None:
         self._apply(record)
--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -5,7 +5,7 @@
 import errno
 import json
 import os
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -264,7 +264,7 @@
     for ident in ("a", "b"):
         journal.take(entry(ident))
     journal.give(list(journal.entries.values()))
-    writes = [os.write, failing]
+    writes: list[Callable[..., int]] = [os.write, failing]
     with fault("write", lambda file, data: writes.pop(0)(file, data)), pytest.raises(JournalError):
         for each in journal.taken_back():
             found.append(each.id)
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -186,7 +186,7 @@
     old.take(entry("a"))
     old.give([old.entries["a"]])
     old.look()
-    assert old.taken_back() == []  # it lives, and may be about to
+    assert list(old.taken_back()) == []  # it lives, and may be about to
     os.close(new.file)
     old.look()
     assert [each.id for each in old.taken_back()] == ["a"] and not old.entries["a"].given
@@ -230,11 +230,11 @@
     os.close(new.file)
     old.look()
     (other,) = old.others.values()
-    assert old.taken_up(other, other.left()[0]) is not None and old.taken_back() == [] and old.settle()
+    assert old.taken_up(other, other.left()[0]) is not None and list(old.taken_back()) == [] and old.settle()
     old.close()
     after = Journal(tmp_path, DISK)
     assert after.entries["a"].end == "delivered" and not after.entries["a"].given
-    assert after.taken_back() == []
+    assert list(after.taken_back()) == []
 
 
 def test_a_message_given_to_and_fro_is_never_forgotten_by_both(tmp_path: Path) -> None:
