Reproduce a call to an endpoint that the killed process knew to drain: known to fail

Cause: a new process begins with its configuration's list, also where the process before had been told that an endpoint drains.

--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -496,3 +496,20 @@
             await until(lambda: not host.held)
             assert server.opened >= 5 and not any(host.egress.idle.values())
     run(work())
+
+
+def test_a_destination_whose_endpoints_had_all_drained_is_known_to_the_next_process(state: Path) -> None:
+    async def work() -> None:
+        agent, server = await pair()
+        async with relay(state, agent, server) as host:
+            agent.tell(listing(server, generation=2, reset=False, state="draining"))
+            await until(lambda: host.directory.version == 2)
+        async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
+            assert not host.relay.doors
+            assert await client.ask(message("m")) == 202
+            agent.tell(listing(server, generation=3))
+            agent.tell(listing(server, generation=4))  # the earlier process's watch may take one
+            assert (await server.came.get()).headers["x-trace-id"] == "m"
+        async with relay(state, agent, server) as host:
+            assert len(host.relay.doors) == 1  # it was ready again
+    run(work())
--- a/tests/test_incident_8311.py
+++ b/tests/test_incident_8311.py
@@ -21,7 +21,7 @@
 import pytest
 
 from .faults import FaultProcess, soon
-from .loopback import Agent, Seen, Server, answer, listing, message, run
+from .loopback import SETTINGS, Agent, Seen, Server, answer, listing, message, run
 
 Case = Callable[["Platform", Server, FaultProcess], Awaitable[None]]
 LATE_S = 0.3  # a message is lost if its end is told so long after its time
@@ -38,6 +38,7 @@
         self.silent_up_to = 0  # connections up to this number answer nothing any more
         self.answers, self.lists = asyncio.Event(), asyncio.Event()  # what it says waits for these
         self.answers.set()
+        self.known_by = set[int]()  # connections whose requests say that they have the newest list
         self.newest: dict[str, Any] | None = None  # the list that each call is answered with
 
     async def reply(self, seen: Seen) -> bytes | None | str:
@@ -45,6 +46,10 @@
             return None
         if seen.target.startswith("/v1/servers") and self.newest is not None:
             await self.lists.wait()
+            if f"from={self.newest['generation']}&" in seen.target:
+                self.known_by.add(seen.connection)
+                await asyncio.sleep(0.1)
+                return answer(200, body=json.dumps({**self.newest, "reset": False, "instances": []}))
             return answer(200, body=json.dumps(self.newest))
         await self.answers.wait()
         reply = await super().reply(seen)
@@ -123,9 +128,35 @@
     assert len(server.seen) == calls, "a call went to an endpoint that the list no longer has"
 
 
+async def drain_told_to_the_process_before(
+    platform: Platform, server: Server, process: FaultProcess
+) -> None:
+    """Lists are asked for here, so a new process may go on with the list that the relay has: not with the
+    older one of its configuration."""
+    other = await Server().start()
+    process.raw["settings"] = {**SETTINGS, "registry-mode": "ask"}
+    process.configure()
+    platform.newest = {**listing(server, generation=2, state="draining"), "reset": False}
+    platform.newest["instances"] += listing(other)["instances"]
+    platform.lists.set()
+    await process.start()
+    assert await soon(lambda: bool(platform.known_by))
+    other.usual = None
+    await process.hand_in(message("first"))
+    assert await soon(lambda: len(other.seen) == 1)
+    platform.lists.clear()
+    calls = len(server.seen)
+    await process.end(signal.SIGKILL)
+    await process.start()
+    await asyncio.sleep(0.5)
+    platform.lists.set()
+    assert await soon(lambda: len(other.seen) == 2)
+    assert len(server.seen) == calls, "a call went to an endpoint that drains, as the relay had been told"
+
+
 @pytest.mark.parametrize("case", [
     all_kept_connections_fall_silent, replaced_platform_answers_last, client_comes_again_after_the_end,
-    old_list_at_the_start,
+    old_list_at_the_start, drain_told_to_the_process_before,
 ])
 def test_no_end_and_no_endpoint_rests_on_the_word_of_a_peer_that_no_longer_counts(
     tmp_path: Path, case: Case
