Keep in the folder which endpoints drain or are gone, as far as the relay was told

Cause: a new process began with its configuration's list, which may be older than what the process before was told.

--- a/linnetstile/net/book.py
+++ b/linnetstile/net/book.py
@@ -28,6 +28,7 @@
         self.role = ""  # of its process: see replacement.py
         self.calls: dict[str, int] = {}  # out while it yields, by destination
         self.lanes: dict[tuple[int, str], list[list[Any]]] = {}  # what it told of destinations and routes
+        self.unlisted: set[str] = set()  # endpoints that discovery has told are not ready any more
         self.withdrawn_ids: list[str] = []  # by clients, as far as nobody has asked
         self.sequence = 0  # `n` of the latest record
         self.boot: str | None = None  # of the latest record; None: none has told yet
@@ -86,6 +87,10 @@
                 self.calls = {str(dest): int(calls) for dest, calls in record["out"].items()}
             case "lane":
                 self.lanes[int(record["dest"]), str(record["ep"])] = list(record["told"])
+            case "unlisted":
+                self.unlisted.update(str(name) for name in record["names"])
+            case "listed":
+                self.unlisted.difference_update(str(name) for name in record["names"])
             case "give":
                 for ident in record["ids"]:
                     self.entries[str(ident)].given = True
--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -105,6 +105,12 @@
                 del self.dests[dest]
                 self.left.add(dest)
 
+    def drop(self, names: set[str]) -> EndpointList:
+        """Without these endpoints; the whole list that is left."""
+        for name in names:
+            self._lose(name)
+        return EndpointList(ListKind.WHOLE, tuple(known.entry for known in self.by_name.values()))
+
     def lost(self) -> set[int]:
         """The destinations that have lost their last endpoint since this was last asked."""
         lost, self.left = {dest for dest in self.left if dest not in self.dests}, set()  # walks not all dests
@@ -136,6 +142,13 @@
         return Known(name, entry, address(item["hostPort"]))
 
 
+def names_of(known: dict[str, Any]) -> set[str]:
+    """The endpoints of a list in discovery's form, as far as it can be read."""
+    items = known.get("instances")
+    return {str(item.get("instanceId")) for item in items if isinstance(item, dict)} if isinstance(
+        items, list) else set()
+
+
 class Watch:
     """Keeps the directory current; what fails keeps the version, so that nothing is missed."""
 
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -17,7 +17,7 @@
 from .agent import Agent
 from .backoff import Backoff
 from .config import Address, Config
-from .discovery import Directory, Watch
+from .discovery import Directory, Watch, names_of
 from .egress import UNSENT, Answer, Call, Egress, line_of
 from .figures import Figures
 from .history import History
@@ -90,6 +90,7 @@
             self.ingress.unbind()
             raise
         self.directory = Directory.of(config.settings, config.zones)
+        self.configured = names_of(config.known)  # what the next process begins with, as far as is known
         self.dests: dict[int, float] = {}  # destinations that are known though none is listed: until when
         self.egress = Egress(config.settings.idle_ms, config.settings.connect_timeout_ms, 1, 1,
                              config.settings.report_fields, self._written)
@@ -145,7 +146,9 @@
             self.door.open(self.config.mgmt)
         if self.config.known:
             try:
-                self.listed(replace(self.directory.apply(self.config.known), kind=api.ListKind.CACHED))
+                self.directory.apply(self.config.known)
+                left = self.directory.drop(self.journal.known_unlisted())
+                self.listed(replace(left, kind=api.ListKind.CACHED))
                 self._feed(api.ListUnconfirmed(api.ListDoubt.STARTED))
             except ValueError as error:
                 log.warning("the known list of endpoints is passed over: %s", error)
@@ -511,6 +514,10 @@
 
     def told_by_discovery(self, event: api.EndpointList) -> None:
         self.news.set()
+        if event.entries or event.kind is api.ListKind.WHOLE:
+            ready = {name for name, known in self.directory.by_name.items()
+                     if known.entry.listing is api.Listing.READY}
+            self._journal(lambda: self.journal.says_unlisted(self.configured - ready))
         self.listed(event)
 
     def listed(self, event: api.EndpointList) -> None:
--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -255,6 +255,16 @@
     def give(self, entries: list[Entry]) -> None:
         self._record(*({"k": "give", "ids": [entry.id for entry in some]} for some in in_parts(entries)))
 
+    def says_unlisted(self, names: set[str]) -> None:
+        """Which endpoints of the configuration's list are not ready any more, as discovery has told."""
+        changes = [("unlisted", sorted(names - self.unlisted)), ("listed", sorted(self.unlisted - names))]
+        self._record(*({"k": kind, "names": list(some)} for kind, changed in changes
+                       for some in in_parts(changed)))
+
+    def known_unlisted(self) -> set[str]:
+        """As this process, or an earlier or another one of this relay, has heard."""
+        return self.unlisted.union(*(other.unlisted for other in self.others.values()))
+
     def says_role(self, role: str) -> None:
         self._record({"k": "role", "role": role})
 
@@ -434,4 +444,5 @@
             records += [{"k": "lane", "dest": dest, "ep": endpoint, "told": told}
                         for (dest, endpoint), told in self.lanes.items()]
             records.append({"k": "calls", "out": self.calls})
+        records += [{"k": "unlisted", "names": list(some)} for some in in_parts(sorted(self.unlisted))]
         return [*records, {"k": "role", "role": self.role}] if self.role else records
--- a/linnetstile/net/records.py
+++ b/linnetstile/net/records.py
@@ -10,10 +10,12 @@
 import base64
 import json
 import zlib
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import Any, TypeVar
 
-PART = 100  # messages that one record names at most: one write for each would hold up the loop
+T = TypeVar("T")
+PART = 100  # messages or endpoints that one record names at most: one write for each would hold up the loop
 TORN = b"~"  # ends what a failed write left: with it, no checksum matches
 
 
@@ -76,9 +78,9 @@
     return replace(entry, risk=entry.risk or entry.out, out=None, given=False)
 
 
-def in_parts(entries: list[Entry]) -> list[list[Entry]]:
+def in_parts(items: Sequence[T]) -> list[Sequence[T]]:
     """So many as one record may name."""
-    return [entries[first : first + PART] for first in range(0, len(entries), PART)]
+    return [items[first : first + PART] for first in range(0, len(items), PART)]
 
 
 def progress(entry: Entry) -> tuple[bool, bool, int]:
