Split the clients' side and the intake of requests into modules of one job each

Change: client_request, client_connection, ingress, intake and starting; the invariants are passed in; tests name the new modules. No behaviour changes.

--- a/linnetstile/__main__.py
+++ b/linnetstile/__main__.py
@@ -9,36 +9,26 @@
 import sys
 import time
 
-from .net.backoff import Backoff
 from .net.config import Config, ConfigError, load
 from .net.host import Host
-from .net.system_errors import START_WAITS
+from .net.starting import once_possible
 
 log = logging.getLogger(__name__)
 
 
 # By RELAY_LOG_TRAFFIC: nothing of single messages, or also their usual steps.
 TRAFFIC_LEVELS = {"0": logging.WARNING, "1": logging.DEBUG}
-FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.02, 0.5  # between attempts to start
 
 
-async def started(config: Config, stopping: asyncio.Event) -> Host | None:
-    """A host that serves; None if the process is told to end while it waits for its folder or its sockets."""
-    backoff = Backoff(FIRST_PAUSE_S, LONGEST_PAUSE_S)
-    while not stopping.is_set():
-        host: Host | None = None
-        try:
-            host = Host(config)
-            await host.start()
-            return host
-        except OSError as error:
-            if host is not None:
-                await host.close()
-            if error.errno not in START_WAITS:
-                raise
-            log.warning("the start waits: %s", error)
-        await backoff.pause()
-    return None
+async def started(config: Config) -> Host:
+    """A host that serves. OSError where its folder or its sockets cannot be had."""
+    host = Host(config)
+    try:
+        await host.start()
+    except OSError:
+        await host.close()
+        raise
+    return host
 
 
 async def serve() -> None:
@@ -47,7 +37,8 @@
     loop.add_signal_handler(signal.SIGHUP, changed.set)  # before the file is read: no change is missed
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    host = await started(load(), stopping)
+    config = load()
+    host = await once_possible(lambda: started(config), lambda: not stopping.is_set())
     if host is None:
         return
     logging.info("clocks: monotonic %.3f s, wall %.3f s", time.monotonic(), time.time())
--- /dev/null
+++ b/linnetstile/net/client_connection.py
@@ -0,0 +1,381 @@
+"""One connection of a client: reads messages and answers them; never ends a request it has read without."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import select
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import h11
+
+from .client_request import BODY_BYTES, Reply, Request, begins_request, fault_of, origin_form
+from .invariants import Rule
+from .link import named, polled
+
+if TYPE_CHECKING:
+    from .ingress import Ingress
+
+log = logging.getLogger(__name__)
+
+HEAD_BYTES = 16 * 1024
+AT_ONCE = 4  # requests of one client answered in a turn of the loop: more take turns with the others
+PIECES = 4096  # heads and chunks in one read, at most: more tiny ones would hold up the loop
+SILENT_S = 2.2  # a new connection may say nothing for so long: one on which no request is open is owed 2 s
+FIRST_S = 2.5  # from connecting until its first request is whole; an answer or an end is due within 3 s
+REQUEST_S = 2.0  # a later request takes no longer to come; its client gives up after 0.4 s
+IDLE_S = 10.0  # a connection is kept so long for its next request, while few stand idle
+HEARD_S = 0.25  # a client's first bytes follow its connection more quickly than this
+LINGER_S = 1.0  # after a last answer: closing on unread bytes would reset that answer away
+DISCARD_S = 4.0  # the same for a body that is far too long
+DISCARD_BYTES = 64 << 20  # and how much of it is read and thrown away
+PENALTY_S = 0.1  # what follows a request that made no sense is read so much later
+RETRY_S = 1.0  # a client that is turned away as the process ends is told to come again so much later
+SENSELESS = frozenset((400, 404, 405))
+
+
+class ClientConnection(asyncio.Protocol):
+    def __init__(self, server: Ingress) -> None:
+        self.server = server
+        self.http: h11.Connection | None = None  # made with the first byte: many never say anything
+        self.transport: asyncio.Transport | None = None
+        self.request: Request | None = None
+        self.unsent: list[str] = []  # accepted, but the answer is not fully written
+        self.first_by = self.deadline = self.answered_at = 0.0
+        self.fresh = True  # no request has begun yet
+        self.useful = False  # a message has come on it
+        self.last = False  # no request after this one
+        self.unfed = b""  # read, but not parsed yet
+        self.sent_all = self.told_end = False  # the client has ended its sending, and h11 knows
+        self.more = False  # behind the request that is answered another one has begun to come
+        self.deferred = False  # what has come waits for its turn
+        self.over = False  # answered for the last time: what still comes is thrown away
+        self.discarded = 0
+
+    # -- called by the loop ------------------------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.set_write_buffer_limits(high=0)  # so that resume_writing means: all is written
+        now = asyncio.get_running_loop().time()
+        self.deadline, self.first_by = now + SILENT_S, now + FIRST_S
+        if not self.server.admit(self):
+            self._turned_away(transport)
+
+    def _turned_away(self, transport: asyncio.Transport) -> None:
+        """No room, and nobody can make way. What has come already is answered; with nothing sent on it, its
+        client asks once more on another."""
+        if not polled(transport, select.POLLIN):
+            log.info("a new connection is closed unread: %d are open", len(self.server.connections))
+            transport.abort()
+            return
+        self._connection()
+        self.server.connections.add(self)
+        self._end(Reply(503, "this relay has no room for another connection", retry_s=RETRY_S))
+        self.deadline = self.answered_at + HEARD_S  # others wait for its descriptor
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.idle:
+            log.info("a connection ended with a request open: %r", exc)
+        self.server.gone(self)
+        # Guards against work for a client that never heard of it: it hands the message in again.
+        for ident in self.unsent:
+            self.server.withdraw(ident)
+
+    def pause_writing(self) -> None:
+        if self.transport is not None and not self.over:
+            self.transport.pause_reading()  # a client that reads no answers gets no more
+
+    def resume_writing(self) -> None:
+        self.unsent.clear()
+        self._read_on()
+
+    def data_received(self, data: bytes) -> None:
+        if self.over:
+            self.discarded += len(data)
+            if self.discarded > DISCARD_BYTES:
+                self.abort()
+            return
+        if self.idle:
+            data = data.lstrip(b"\r\n")  # blank lines before a request are no part of it (RFC 9112, 2.2)
+        if data:
+            self._feed(data)
+
+    def eof_received(self) -> bool | None:
+        if not self.over:
+            self._feed(b"")
+        return self.deferred  # what has come is answered first
+
+    # -- requests ----------------------------------------------------------------------------------------
+
+    @property
+    def idle(self) -> bool:
+        """No request has begun."""
+        return self.request is None and not self.unfed and (
+            self.http is None or not self.http.trailing_data[0])
+
+    @property
+    def unheard(self) -> bool:
+        """Idle, and no bytes wait to be read: closing it crosses no request that has come."""
+        return self.idle and not polled(self.transport, select.POLLIN)
+
+    def finish(self) -> None:
+        """Closes between requests, else with the answer to the one that has come. A new one gets its time to
+        ask: its first request may be on its way, and would be turned back unheard."""
+        self.last = True
+        if self.unheard and not self.over and not self.fresh:
+            self._close()
+
+    def hang_up(self) -> None:
+        """The process ends: nothing more is waited for. What has come and is not read yet is read first."""
+        self.last = True
+        if self.over or self.deferred:
+            return  # its answer is on its way
+        if self.unheard:
+            self._close()
+        elif not self.idle:
+            self._end(Reply(503, "this relay ends", retry_s=RETRY_S))
+
+    @property
+    def stuck(self) -> bool:
+        """An answer is not fully written yet: its client does not read."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
+    def overdue(self) -> None:
+        if self.over or self.stuck:  # a close would wait for its client to read
+            self.abort()
+        elif self.unheard:
+            self._close()
+        elif not self.idle:
+            self._end(Reply(408, "the request did not come in time"))
+
+    def _feed(self, data: bytes) -> None:
+        """Takes what has come; no bytes mean that the client sends no more."""
+        self._connection()
+        if self.idle and data:
+            self._begins()
+        self.unfed += data
+        self.sent_all = self.sent_all or not data
+        self._go_on()
+
+    def _begins(self) -> None:
+        """The first bytes of a request have come."""
+        now = asyncio.get_running_loop().time()
+        self.deadline = self.first_by if self.fresh else now + REQUEST_S
+        self.fresh = False
+        self.server.begun(self)
+
+    def _go_on(self) -> None:
+        self.deferred = False
+        try:
+            self._parse()
+        except h11.RemoteProtocolError as error:
+            self._end(Reply(error.error_status_hint, str(error)))
+        except Exception:
+            # A fault of ours must not cost the client its answer.
+            log.exception("a request failed")
+            self._end(Reply(500, "internal error"))
+
+    def _parse(self) -> None:
+        """Handles what has come. Guards the loop: a read may hold many pieces, and hundreds of requests."""
+        answered = pieces = 0
+        while self.http is not None and not self.over and not self.deferred and not self.gone:
+            match self.http.next_event():
+                case h11.NEED_DATA:
+                    if not self._more():
+                        return
+                case h11.EndOfMessage() if self.request is not None:
+                    self._whole(self.http, self.request)
+                    answered += 1
+                    if answered == AT_ONCE and not self.idle:
+                        self._defer(0.0)
+                    if self.idle:
+                        return
+                case h11.ConnectionClosed():
+                    self._close()
+                    return
+                case event:
+                    pieces += 1
+                    if pieces > PIECES:
+                        self._end(Reply(400, f"a body comes in {PIECES} chunks at most"))
+                        return
+                    self._piece(self.http, event)
+
+    @property
+    def gone(self) -> bool:
+        """Nobody is there for an answer any more."""
+        return self.transport is None or self.transport.is_closing()
+
+    def _more(self) -> bool:
+        """Gives h11 what it has not had yet. In parts: it bounds only a head that is not whole, and one read
+        holds far more than a head."""
+        assert self.http is not None
+        if self.unfed:
+            part, self.unfed = self.unfed[: HEAD_BYTES + 1], self.unfed[HEAD_BYTES + 1 :]
+            self.http.receive_data(part)
+            return True
+        if self.sent_all and not self.told_end:
+            self.told_end = True
+            self.http.receive_data(b"")
+            return True
+        return False
+
+    def _defer(self, seconds: float) -> None:
+        """What has come already, and all that follows, is handled so much later."""
+        self.deferred = True
+        if self.transport is not None:
+            self.transport.pause_reading()
+        asyncio.get_running_loop().call_later(seconds, self._resume)
+
+    def _resume(self) -> None:
+        self._read_on()
+        if self.deferred and not self.over:
+            self._go_on()
+
+    def _piece(self, http: h11.Connection, event: object) -> None:
+        match event:
+            case h11.Request() as head:
+                if (fault := fault_of(head)) is not None:
+                    self._end(fault)
+                    return
+                self.request = Request(head.method.decode("ascii"),
+                                       origin_form(head.target.decode("latin-1")), named(head.headers))
+                if http.they_are_waiting_for_100_continue:
+                    self._send(h11.InformationalResponse(status_code=100, headers=[]))
+            case h11.Data(data=chunk) if self.request is not None:
+                if len(self.request.body) + len(chunk) > BODY_BYTES:
+                    self._end(Reply(413, f"a body holds {BODY_BYTES} bytes at most"))
+                    return
+                self.request.body += chunk
+
+    def _whole(self, http: h11.Connection, request: Request) -> None:
+        behind = (http.trailing_data[0] + self.unfed).lstrip(b"\r\n")
+        if behind and not begins_request(behind):
+            # Guards against a body longer than it says: it is turned away before its message is taken on.
+            self._end(Reply(400, "a body is no longer than its length"))
+            return
+        self.more = bool(behind)
+        reply = self._handled(request)
+        self.request = None
+        self.useful = self.useful or reply.status == 202
+        # Guards clients that may hold only so many connections against those that ask once and stay.
+        self.last = self.last or self.server.crowded
+        # What has come behind this request is answered too, in its order: only the last answer ends them.
+        self._answer(reply)
+        if self.over:
+            return
+        if self.last and not behind or http.our_state is not h11.DONE:
+            self._linger(LINGER_S)
+            return
+        if behind:
+            self._next_cycle(http, behind)
+            self.deadline = asyncio.get_running_loop().time() + REQUEST_S
+        else:
+            self._rests(http)
+        if reply.status in SENSELESS:
+            # Guards the others' share of the processor against one that asks the same again at once.
+            self._defer(PENALTY_S)
+
+    def _next_cycle(self, http: h11.Connection, behind: bytes) -> None:
+        if http.trailing_data[0][:1] in (b"\r", b"\n"):
+            self.http, self.unfed = None, behind  # h11 would read the blank lines before it as a request line
+            self._connection()
+        else:
+            http.start_next_cycle()
+
+    def _connection(self) -> h11.Connection:
+        if self.http is None:
+            self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_BYTES)
+        return self.http
+
+    def _rests(self, http: h11.Connection) -> None:
+        self.unfed = b""
+        if http.trailing_data[0]:
+            self.http = None  # the blank lines behind it, which h11 would read as a request line
+        else:
+            http.start_next_cycle()
+        self.deadline = asyncio.get_running_loop().time() + IDLE_S
+        self.server.rests(self)
+
+    def _handled(self, request: Request) -> Reply:
+        if polled(self.transport, select.POLLRDHUP):
+            # Guards against a second copy: it has stopped waiting and hands the message in again. One that
+            # merely ended its sending still reads this, and that coming again is harmless.
+            return Reply(503, "the client has hung up")
+        return self.server.handle(request)
+
+    # -- answers -----------------------------------------------------------------------------------------
+
+    def _end(self, reply: Reply) -> None:
+        """The last answer, as far as one can still be given; then what still comes is read and dropped."""
+        log.info("a connection ends with %d: %s", reply.status, reply.text)
+        self.last = self.over = True
+        self.more = False
+        self.request = None
+        if self.http is not None and self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self._answer(reply)
+        self._linger(DISCARD_S if reply.status == 413 else LINGER_S)
+
+    def _linger(self, wait_s: float) -> None:
+        """Ends our sending; the client ends the connection, or `overdue` does after so many seconds. Until
+        then its bytes are read and dropped: a close over unread ones would reset the answer away (RFC 9112,
+        section 9.6), and none of them may be taken on any more."""
+        self.over = True
+        self.http, self.unfed = None, b""  # with up to a whole read each, of which nothing is needed any more
+        self.answered_at = asyncio.get_running_loop().time()
+        self.deadline = self.answered_at + wait_s
+        self.server.lingers(self)
+        if self.transport is not None and not self.transport.is_closing():
+            with suppress(OSError):  # it has gone
+                self.transport.write_eof()
+
+    def _answer(self, reply: Reply) -> None:
+        text = (reply.text + "\n" if reply.text else "").encode()
+        headers = [("Content-Length", str(len(text))), ("Content-Type", "text/plain; charset=utf-8")]
+        if reply.retry_s > 0:
+            headers.append(("Retry-After", f"{reply.retry_s:.3f}"))
+        if self.last and not self.more:
+            headers.append(("Connection", "close"))
+        self._send(h11.Response(status_code=reply.status, headers=headers), h11.Data(data=text),
+                   h11.EndOfMessage())
+        if reply.accepted is not None:
+            self._heard(reply.accepted)
+
+    def _heard(self, ident: str) -> None:
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            self.server.withdraw(ident)
+        elif self.stuck:
+            self.unsent.append(ident)
+
+    def _send(self, *events: h11.Event) -> None:
+        if self.transport is not None and self.http is not None:
+            self.transport.write(b"".join(self.http.send(event) or b"" for event in events))
+
+    def _read_on(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def make_way(self) -> None:
+        """Ends it between requests: what was answered still reaches the client, unless it does not read."""
+        if self.stuck:
+            self.abort()
+        else:
+            self._close()
+
+    def abort(self) -> None:
+        self._check_answered()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _close(self) -> None:
+        self._check_answered()
+        if self.transport is not None:
+            self.transport.close()
+
+    def _check_answered(self) -> None:
+        """Right before this side ends it: no request is open, unless its client is gone or reads nothing."""
+        open_ = not (self.idle or self.over or self.stuck or self.told_end or self.gone)
+        self.server.invariants.check(Rule.ANSWERED, not open_, "a request is closed with no answer")
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -15,13 +15,14 @@
 from ..control import Relay
 from . import clock
 from .agent import Agent
-from .backoff import Backoff
+from .client_request import Reply, Request
 from .config import Address, Config
 from .discovery import Directory, Watch, names_of
 from .egress import UNSENT, Answer, Call, Egress, line_of
 from .figures import Figures
 from .history import History
-from .ingress import ACCEPTS, Ingress, Reply, Request
+from .ingress import ACCEPTS, Ingress
+from .intake import Intake, Malformed
 from .invariants import LATE_MS, Invariants, Rule
 from .journal import Entry, Journal, JournalError
 from .management import SOCKETS as DOOR_SOCKETS
@@ -30,14 +31,13 @@
 from .management import Door
 from .outcomes import Notices
 from .replacement import Replacement
-from .system_errors import START_WAITS
+from .starting import once_possible
 from .tasks import Tasks
 from .watchdog import Watchdog
 
 log = logging.getLogger(__name__)
 traffic = logging.getLogger("linnetstile.traffic")  # what recurs with each message or second
 
-NAME_BYTES = 200  # an id or a key, at most
 SWEEP_S = 1.0
 LOOK_AT_POOL_S = 0.25  # operators are shown nothing that is older than twice this
 OWN_SOCKETS = 24  # the loop's, the log's, the listener's, the journal's and two agents' descriptors
@@ -50,7 +50,6 @@
 PART_S = 2.3  # after SIGTERM, where another process serves: clients move there between two requests
 NEWS_S = 1.5  # a process that comes beside another hears of changes first, but not for longer than this
 CALLS_END_S = 3.0  # after SIGTERM: no call is out later
-LISTEN_S, LISTEN_MOST_S = 0.02, 0.5  # pauses while the address cannot be listened on
 GONE_S = 3.4  # after SIGTERM: whatever is still undone is left to the journal
 
 
@@ -72,17 +71,14 @@
     return logging.DEBUG if usual else logging.INFO
 
 
-class Malformed(Exception):
-    """What a client handed in cannot be taken; the text says why."""
-
-
 class Host:
     def __init__(self, config: Config) -> None:
         self.config, self.settings = config, config.settings
         self.relay = Relay(config.settings, config.seed)
         self.classes = {cls.name: n for n, cls in enumerate(config.settings.classes)}
         self.tenants = {tenant.name: n for n, tenant in enumerate(config.settings.tenants)}
-        self.ingress = Ingress(self.take, self.withdraw, 1, config.sockets // 12)
+        self.invariants = Invariants()
+        self.ingress = Ingress(self.take, self.withdraw, 1, config.sockets // 12, self.invariants)
         self.ingress.bind(*config.listen)  # before the journal: nothing is touched if another has the address
         try:
             self.journal = Journal(config.state, config.disk_bytes)
@@ -91,12 +87,11 @@
             raise
         self.directory = Directory.of(config.settings, config.zones)
         self.configured = names_of(config.known)  # what the next process begins with, as far as is known
+        self.intake = Intake(config.settings, self.classes, self.tenants, self._knows_destination)
         self.dests: dict[int, float] = {}  # destinations that are known though none is listed: until when
         self.egress = Egress(config.settings.idle_ms, config.settings.connect_timeout_ms, 1, 1,
                              config.settings.report_fields, self._written)
-        self.invariants = Invariants()
         self.figures = Figures(self.classes, self.invariants)
-        self.ingress.invariants = self.invariants
         self.untold: dict[str, Entry] = {}  # ended, but not on file yet: told by their time at the latest
         self.found: set[str] = set()  # ids that an earlier process left: their time may be over
         self.draining = False  # clients are sent away until a resume
@@ -166,22 +161,13 @@
         if self.replacement.pair:  # clients are served meanwhile
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.news.wait(), NEWS_S)
-        await self._listen()
+        await once_possible(self._listen)
         self.replacement.serving = True
         self.replacement.follow()  # before operators are told: they end the other process then
         self.ready = True
 
     async def _listen(self) -> None:
-        pauses = Backoff(LISTEN_S, LISTEN_MOST_S)
-        while True:
-            try:
-                self.ingress.listen()
-                return
-            except OSError as error:
-                if error.errno not in START_WAITS:
-                    raise
-                log.warning("the start waits: %s", error)
-            await pauses.pause()
+        self.ingress.listen()
 
     def _talk(self) -> None:
         self.talks = [self.tasks.start(self.watch.run()), self.tasks.start(self.notices.run())]
@@ -409,6 +395,9 @@
             lanes = [str(lane) for lane in self.relay.lanes.get(dest, {}).values()]
             traffic.debug("%d wait for %d: %s", len(queue), dest, "; ".join(lanes))
 
+    def _knows_destination(self, destination: int) -> bool:
+        return destination in self.directory.dests or destination in self.dests
+
     def _know_dests(self) -> None:
         """One whose endpoints are all being replaced is still known; one long gone is forgotten."""
         now = self.now()
@@ -544,7 +533,7 @@
         if request.method != "POST":
             return Reply(405, "POST a message, or GET /healthz")
         try:
-            entry = self._entry(request, path)
+            entry = self.intake.entry_of(request, path)
         except Malformed as error:
             return Reply(400, str(error))
         if entry.id in self.leaving:
@@ -570,37 +559,6 @@
         self._hold(entry)
         return Reply(202, accepted=entry.id)
 
-    def _entry(self, request: Request, path: str) -> Entry:
-        def header(name: str) -> str:
-            return request.headers.get(name, "")
-
-        class_ = path.strip("/").partition("/")[0]
-        if class_ not in self.classes or header("x-qos") != class_:
-            raise Malformed(f"class: path {path!r} and X-Qos {header('x-qos')!r} must name one that is known")
-        ident, key = header("x-trace-id"), request.headers.get("idempotency-key")
-        for name, text in (("X-Trace-Id", ident), ("Idempotency-Key", "-" if key is None else key)):
-            if not 0 < len(text) <= NAME_BYTES or not text.isascii():
-                raise Malformed(f"{name}: 1 to {NAME_BYTES} ASCII characters are needed")
-        if self.settings.classes[self.classes[class_]].effect is api.Effect.KEYED and key is None:
-            raise Malformed(f"Idempotency-Key: class {class_} needs one")
-        tenant = header("x-customer")
-        if self.tenants and tenant not in self.tenants:
-            raise Malformed(f"X-Customer: {tenant!r} is not known")
-        left, now = header("x-expires-in-ms"), clock.now_ms()
-        if not (left.isascii() and left.isdecimal() and len(left) <= 9):
-            raise Malformed("X-Expires-In-Ms: whole milliseconds are needed")
-        return Entry(ident, class_, tenant, self._dest(header("x-addressing")), key, now, now + int(left),
-                     header("x-second-try")[:16], bytes(request.body))
-
-    def _dest(self, text: str) -> int:
-        for part in text.replace(",", ";").split(";"):
-            name, _, value = part.strip().partition("=")
-            if name == "dest" and value.isascii() and value.isdecimal() and len(value) < 10:
-                if int(value) in self.directory.dests or int(value) in self.dests:
-                    return int(value)
-                raise Malformed(f"X-Addressing: destination {value} is not known")
-        raise Malformed("X-Addressing: dest=NUMBER is needed")
-
     def _hold(self, entry: Entry, age_ms: float | None = None, tries: int = 0,
               risk_age_ms: float | None = None, risk: api.Endpoint | None = None) -> None:
         self.last_number += 1
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from linnetstile.net import ingress
+from linnetstile.net import client_connection, ingress
 from linnetstile.net.host import Host
 
 from .loopback import Agent, Client, Server, host_of, message, run, until
@@ -105,8 +105,9 @@
 def test_what_does_not_come_in_time_is_ended(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: bytes, status: int
 ) -> None:
-    for name in ("SILENT_S", "FIRST_S", "REQUEST_S", "SWEEP_S"):
-        monkeypatch.setattr(ingress, name, 0.05)
+    for name in ("SILENT_S", "FIRST_S", "REQUEST_S"):
+        monkeypatch.setattr(client_connection, name, 0.05)
+    monkeypatch.setattr(ingress, "SWEEP_S", 0.05)
 
     async def work() -> None:
         async with World(tmp_path) as host, Client(host.ingress.port) as client:
@@ -119,9 +120,9 @@
 
 
 def test_waits_for_bad_clients_end_within_what_they_are_owed_and_spare_the_others() -> None:
-    slowest = max(ingress.SILENT_S, ingress.FIRST_S) + ingress.SWEEP_S
-    assert slowest < 3.0 <= ingress.DISCARD_S + ingress.SWEEP_S < 6.0
-    assert min(ingress.SILENT_S, ingress.SPARED_S, ingress.IDLE_S) >= 2.0
+    slowest = max(client_connection.SILENT_S, client_connection.FIRST_S) + ingress.SWEEP_S
+    assert slowest < 3.0 <= client_connection.DISCARD_S + ingress.SWEEP_S < 6.0
+    assert min(client_connection.SILENT_S, ingress.SPARED_S, client_connection.IDLE_S) >= 2.0
 
 
 def test_half_a_request_and_an_end_of_sending_is_answered(tmp_path: Path) -> None:
@@ -137,7 +138,8 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards the descriptors against clients that ask once and keep their connection for good."""
-    monkeypatch.setattr(ingress, "IDLE_S", 0.1)
+    for module in (client_connection, ingress):
+        monkeypatch.setattr(module, "IDLE_S", 0.1)
     monkeypatch.setattr(ingress, "SWEEP_S", 0.05)
 
     async def work() -> None:
@@ -168,8 +170,8 @@
             now = asyncio.get_running_loop().time()
             assert len(host.ingress._due(now + ingress.SPARED_S)) == 3 and not host.ingress._due(now + 1.9)
             host.ingress.roomy = 4
-            assert not host.ingress._due(now + ingress.IDLE_S - 1.0)
-            assert len(host.ingress._due(now + ingress.IDLE_S)) == 3
+            assert not host.ingress._due(now + client_connection.IDLE_S - 1.0)
+            assert len(host.ingress._due(now + client_connection.IDLE_S)) == 3
     run(work())
 
 
@@ -177,7 +179,8 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards the descriptors that calls need, and the usual clients' way in."""
-    monkeypatch.setattr(ingress, "HEARD_S", 0.0)
+    for module in (client_connection, ingress):
+        monkeypatch.setattr(module, "HEARD_S", 0.0)
 
     async def work() -> None:
         async with World(tmp_path) as host:
@@ -259,7 +262,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards the others' share of the processor; each answer still comes at once."""
-    monkeypatch.setattr(ingress, "PENALTY_S", 0.01)
+    monkeypatch.setattr(client_connection, "PENALTY_S", 0.01)
 
     async def work() -> None:
         async with World(tmp_path) as host, Client(host.ingress.port) as client:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -17,7 +17,8 @@
 
 from linnetstile.net import ingress
 from linnetstile.net.host import Host
-from linnetstile.net.ingress import ClientConnection, Reply, Request
+from linnetstile.net.client_connection import ClientConnection
+from linnetstile.net.client_request import Reply, Request
 
 from .loopback import Client, answer, message, run, until
 from .test_clients import World
@@ -118,7 +119,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """It may go on sending until then: all of it is dropped."""
-    monkeypatch.setattr("linnetstile.net.ingress.LINGER_S", 0.05)
+    monkeypatch.setattr("linnetstile.net.client_connection.LINGER_S", 0.05)
     monkeypatch.setattr("linnetstile.net.ingress.SWEEP_S", 0.01)
 
     async def work() -> None:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -18,7 +18,10 @@
 
 import pytest
 
-from linnetstile.net.ingress import ACCEPTS, SWEEP_S, ClientConnection, Ingress, Reply
+from linnetstile.net.client_connection import ClientConnection
+from linnetstile.net.client_request import Reply
+from linnetstile.net.ingress import ACCEPTS, SWEEP_S, Ingress
+from linnetstile.net.invariants import Invariants
 
 from .loopback import Agent, Client, Seen, Server, answer, listing, message, run, until
 from .test_process import Process, free_port
@@ -131,7 +134,7 @@
             return super().accept()
 
     async def work() -> None:
-        taken = Ingress(lambda request: Reply(200), lambda ident: None, 8, 8)
+        taken = Ingress(lambda request: Reply(200), lambda ident: None, 8, 8, Invariants())
         taken.bind("127.0.0.1", 0)
         assert taken.listener is not None
         full = Full(fileno=taken.listener.detach())
@@ -148,7 +151,7 @@
 def test_newcomers_hold_few_descriptors_until_it_is_known_who_may_stay() -> None:
     """And those that wait meanwhile are taken as soon as one is free."""
     async def work() -> None:
-        taken = Ingress(lambda request: Reply(200), lambda ident: None, 2, 8)
+        taken = Ingress(lambda request: Reply(200), lambda ident: None, 2, 8, Invariants())
         taken.bind("127.0.0.1", 0)
         taken.listen()
         most = 0
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -14,14 +14,14 @@
 
 import pytest
 
-from linnetstile.net import ingress
+from linnetstile.net import client_connection, client_request, ingress
 
 from .loopback import SETTINGS, Client, message, run, until
 from .test_clients import World
 from .test_crossings import World as Crossing
 
 MANY = b"".join(b"a%x:\r\n" % number for number in range(12_000))  # 80 KB of headers
-TINY = 2 * ingress.PIECES
+TINY = 2 * client_connection.PIECES
 PEERS = 8
 
 
@@ -40,7 +40,7 @@
 def test_the_look_at_a_head_costs_each_header_once() -> None:
     """Each with each of 40,000, as many as a read holds, took the loop 40 s."""
     head: Any = SimpleNamespace(headers=[(Name(b"a%x" % number), b"") for number in range(1000)])
-    assert ingress.fault_of(head) is None and Name.compared <= 2000
+    assert client_request.fault_of(head) is None and Name.compared <= 2000
 
 
 @pytest.mark.parametrize(("request_", "status"), [
@@ -64,7 +64,7 @@
 def test_a_longest_body_in_one_read_is_taken_on(tmp_path: Path) -> None:
     """Its head and its body are parsed in parts, and what follows them is still seen."""
     async def work() -> None:
-        body = b"x" * ingress.BODY_BYTES
+        body = b"x" * client_request.BODY_BYTES
         world = World(tmp_path)
         async with world as host, Client(host.ingress.port) as client:
             assert await client.ask(message("l") + b"\r\n" * 9000) == 202
@@ -97,21 +97,24 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sort: str
 ) -> None:
     """All of it lies unread before the first of it is read, and the usual client's request lies behind it."""
-    reads = Counter[ingress.ClientConnection]()
+    reads = Counter[client_connection.ClientConnection]()
     at_answer: list[int] = []
-    received, handle = ingress.ClientConnection.data_received, ingress.ClientConnection._handled
+    received = client_connection.ClientConnection.data_received
+    handle = client_connection.ClientConnection._handled
 
-    def count(self: ingress.ClientConnection, data: bytes) -> None:
+    def count(self: client_connection.ClientConnection, data: bytes) -> None:
         reads[self] += 1
         received(self, data)
 
-    def hook(self: ingress.ClientConnection, request: ingress.Request) -> ingress.Reply:
+    def hook(
+        self: client_connection.ClientConnection, request: client_request.Request
+    ) -> client_request.Reply:
         if request.headers.get("x-trace-id") == "m":
             at_answer.append(max(reads.values()))
         return handle(self, request)
 
-    monkeypatch.setattr(ingress.ClientConnection, "data_received", count)
-    monkeypatch.setattr(ingress.ClientConnection, "_handled", hook)
+    monkeypatch.setattr(client_connection.ClientConnection, "data_received", count)
+    monkeypatch.setattr(client_connection.ClientConnection, "_handled", hook)
 
     async def work() -> None:
         async with World(tmp_path) as host, Client(host.ingress.port) as usual:
@@ -126,7 +129,7 @@
                 assert at_answer == [1]  # none of the flood was read twice before it
                 await until(lambda: len(host.ingress.lingering) == PEERS)
                 gc.collect()  # what is left is kept
-                assert tracemalloc.get_traced_memory()[0] < PEERS * ingress.HEAD_BYTES
+                assert tracemalloc.get_traced_memory()[0] < PEERS * client_connection.HEAD_BYTES
                 tracemalloc.stop()
                 for sock in flood:
                     assert sock.recv(12) in (b"HTTP/1.1 400", b"HTTP/1.1 431")
@@ -140,19 +143,19 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, by: str
 ) -> None:
     """Its connection and its messages are not kept until it reads: that may be never."""
-    made, answered = ingress.ClientConnection.connection_made, asyncio.Event()
-    answer = ingress.ClientConnection._answer
+    made, answered = client_connection.ClientConnection.connection_made, asyncio.Event()
+    answer = client_connection.ClientConnection._answer
 
-    def small(self: ingress.ClientConnection, transport: asyncio.BaseTransport) -> None:
+    def small(self: client_connection.ClientConnection, transport: asyncio.BaseTransport) -> None:
         transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
         made(self, transport)
 
-    def hook(self: ingress.ClientConnection, reply: ingress.Reply) -> None:
+    def hook(self: client_connection.ClientConnection, reply: client_request.Reply) -> None:
         answer(self, reply)
         answered.set()
 
-    monkeypatch.setattr(ingress.ClientConnection, "connection_made", small)
-    monkeypatch.setattr(ingress.ClientConnection, "_answer", hook)
+    monkeypatch.setattr(client_connection.ClientConnection, "connection_made", small)
+    monkeypatch.setattr(client_connection.ClientConnection, "_answer", hook)
     settings = {**SETTINGS, "limits": {**SETTINGS["limits"], "open-cap": 4000}}
 
     async def work() -> None:
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from linnetstile.net.ingress import ClientConnection
+from linnetstile.net.client_connection import ClientConnection
 
 from .loopback import Client, message, run, until
 from .test_clients import World
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from linnetstile.net import ingress
+from linnetstile.net import client_connection, client_request
 
 from .loopback import Client, message, run, until
 from .test_clients import GOOD, World, ended
@@ -111,17 +111,19 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """They take turns: so many of each client are answered before the next client's."""
-    handled: Counter[ingress.ClientConnection] = Counter()
+    handled: Counter[client_connection.ClientConnection] = Counter()
     at_answer: list[int] = []
-    handle = ingress.ClientConnection._handled
+    handle = client_connection.ClientConnection._handled
 
-    def hook(self: ingress.ClientConnection, request: ingress.Request) -> ingress.Reply:
+    def hook(
+        self: client_connection.ClientConnection, request: client_request.Request
+    ) -> client_request.Reply:
         if request.headers.get("x-trace-id") == "m":
             at_answer.append(max(handled.values(), default=0))
         handled[self] += 1
         return handle(self, request)
 
-    monkeypatch.setattr(ingress.ClientConnection, "_handled", hook)
+    monkeypatch.setattr(client_connection.ClientConnection, "_handled", hook)
 
     async def work() -> None:
         async with World(tmp_path) as host, Client(host.ingress.port) as usual:
@@ -133,10 +135,10 @@
                     sock.setblocking(False)
                     sock.send(HEALTH * 500)
                 assert await usual.ask(message("m")) == 202
-                assert at_answer[0] <= 2 * ingress.AT_ONCE
+                assert at_answer[0] <= 2 * client_connection.AT_ONCE
                 await asyncio.gather(*(answered(sock, 500) for sock in flood))
                 gc.collect()  # what is left is kept
-                assert tracemalloc.get_traced_memory()[0] < PEERS * ingress.HEAD_BYTES
+                assert tracemalloc.get_traced_memory()[0] < PEERS * client_connection.HEAD_BYTES
                 tracemalloc.stop()
             await until(lambda: len(host.ingress.connections) == 1)  # they have gone
             assert list(host.journal.entries) == ["m"]
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -19,7 +19,8 @@
 from linnetstile.net import journal as journal_module
 from linnetstile.net.discovery import Directory
 from linnetstile.net.host import Host
-from linnetstile.net.ingress import ACCEPTS, ClientConnection
+from linnetstile.net.client_connection import ClientConnection
+from linnetstile.net.ingress import ACCEPTS
 from linnetstile.net.journal import BLOCK, SLACK, Attempt, Entry, Journal
 from linnetstile.net.replacement import TAKES, Replacement
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from linnetstile.net.ingress import ClientConnection, Reply
+from linnetstile.net.client_connection import ClientConnection
+from linnetstile.net.client_request import Reply
 from linnetstile.net.link import Link
 from linnetstile.net.management import Caller
 
