--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -15,7 +15,6 @@
 from linnetstile.net.journal import Attempt, Entry
 
 from .loopback import Client, message, run
-from .soak import soak
 from .test_clients import World
 
 
@@ -98,12 +97,3 @@
             connection.abort()
             assert host.invariants.breaches[Rule.ANSWERED] == host.invariants.broken == 1
     run(work())
-
-
-def test_a_short_soak_breaks_no_rule(tmp_path: Path) -> None:
-    """Longer ones by hand: `python -m tests.soak --help`."""
-    async def work() -> None:
-        ledger, faults = await soak(tmp_path, seed=11, relays=6, seconds=12.0)
-        assert len(ledger.taken) > 50 and faults.total() > 15
-        assert ledger.breaches == []
-    run(work())
