--- a/linnetstile/soak/trouble.py
+++ b/linnetstile/soak/trouble.py
@@ -168,14 +168,16 @@
 
     async def replaced_endpoint(self) -> None:
         """Drains while calls are out on it, is gone a little later, and another takes its place."""
+        if len(self.endpoints) < 2:
+            return
         old = self.rng.choice(self.endpoints)
         self.endpoints.remove(old)
         new = await self.new_endpoint(old)
-        self.endpoints.append(new)
         self.listing.change(old, "draining")
         if self.rng.random() < 0.5:
             await asyncio.sleep(self.rng.uniform(0.0, 2.0))
         self.listing.change(new, "ready")
+        self.endpoints.append(new)  # from now on it may be hit itself
         await asyncio.sleep(self.rng.uniform(*DRAINS_S))
         self.listing.change(old, "gone")
         await asyncio.sleep(1.0)
