Force news of a drain right before a call's last byte: known to fail

Cause: the last gate asks the decisions, which hear of a list with their next turn, up to a tick after the directory has it.

--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -662,7 +662,7 @@
             if known is not None:
                 answers = await self.egress.together([Call(
                     endpoint, known.address, held.entry.id, held.entry.key, held.entry.body, until / 1000,
-                    partial(self._may_write, number, held),
+                    partial(self._may_write, number, held, endpoint),
                     careful=self._effect(held.entry) is api.Effect.UNSAFE, class_=held.entry.class_,
                     keep=keep, note=self._noted(held.entry, known.name, known.entry.zone),
                     told_wait=partial(self._wait_told, number, held))
@@ -680,9 +680,8 @@
     def _effect(self, entry: Entry) -> api.Effect:
         return self.settings.classes[self.classes[entry.class_]].effect
 
-    def _may_write(self, number: int, held: Held) -> bool:
-        """Asked before the first byte on each connection, and before the last. A message that its client has
-        taken back is known here before the module hears of it."""
+    def _may_write(self, number: int, held: Held, endpoint: int) -> bool:
+        """Asked before the first byte on each connection, and before the last."""
         return self.held.get(number) is held and self.relay.may_write(self.now(), number)
 
     def _wait_told(self, number: int, held: Held, wait_ms: float | None) -> None:
--- a/linnetstile/soak/client.py
+++ b/linnetstile/soak/client.py
@@ -53,7 +53,7 @@
     """Hands in messages at one relay's address."""
 
     relay: int
-    port: int
+    address: tuple[str, int]
     destinations: list[int]
     classes: list[str]
     ledger: Ledger
@@ -74,7 +74,7 @@
         opened = []
         for _ in range(count):
             try:
-                opened.append((await asyncio.open_connection("127.0.0.1", self.port))[1])
+                opened.append((await asyncio.open_connection(*self.address))[1])
             except OSError:
                 break
         await asyncio.sleep(seconds)
@@ -124,8 +124,7 @@
         try:
             async with asyncio.timeout(PATIENCE_S):
                 while True:
-                    connection = connection or Connection(
-                        *await asyncio.open_connection("127.0.0.1", self.port))
+                    connection = connection or Connection(*await asyncio.open_connection(*self.address))
                     try:
                         status, stays = await connection.ask(data)
                         break
--- a/linnetstile/soak/relay.py
+++ b/linnetstile/soak/relay.py
@@ -7,7 +7,6 @@
 import os
 import random
 import signal
-import socket
 import sys
 import time
 from dataclasses import dataclass, field
@@ -25,12 +24,6 @@
 HEALTH = b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 @dataclass
 class RelayProcess:
     number: int
@@ -38,7 +31,7 @@
     settings: dict[str, Any]
     platform: Platform
     ledger: Ledger
-    port: int = field(default_factory=free_port)
+    address: tuple[str, int]
     process: asyncio.subprocess.Process | None = None
     failing: dict[str, Any] = field(default_factory=dict)
     busy: asyncio.Lock = field(default_factory=asyncio.Lock)  # one series of signals at a time
@@ -67,7 +60,7 @@
 
     def _configure(self) -> None:
         self._replace("config.json", {
-            "name": f"n{self.number}", "listen": f"127.0.0.1:{self.port}",
+            "name": f"n{self.number}", "listen": "{}:{}".format(*self.address),
             "discovery": "{}:{}".format(*self.platform.address), "seed": f"{random.getrandbits(64):x}",
             "state": str(self.folder / "state"), "limits": {"sockets": 512, "disk_mb": 3},
             "known": self.known, "settings": self.settings})
@@ -95,7 +88,7 @@
 
     async def _is_ready(self) -> bool:
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            reader, writer = await asyncio.open_connection(*self.address)
             writer.write(HEALTH)
             line = await reader.readline()
             writer.close()
--- a/linnetstile/soak/run.py
+++ b/linnetstile/soak/run.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from .addresses import Addresses
 from .client import LEFT_MS, Clients
 from .endpoint import Endpoint
 from .judge import LATE_S, RESTART_S, Breach, Judge
@@ -60,6 +61,9 @@
     endpoints: list[Endpoint] = field(default_factory=list)
     numbers: int = 0
 
+    def __post_init__(self) -> None:
+        self.addresses = Addresses(self.plan.seed)
+
     async def play(self) -> Result:
         rng = random.Random(self.plan.seed)
         world = drawn(rng)
@@ -86,19 +90,19 @@
 
     async def _endpoint(self, destination: int, kind: str, rng: random.Random) -> Endpoint:
         self.numbers += 1
-        endpoint = Endpoint(name=f"s-{self.numbers}", destination=destination, kind=kind, ledger=self.ledger,
-                            rng=random.Random(rng.random()))
+        endpoint = Endpoint(self.addresses.next(), name=f"s-{self.numbers}", destination=destination,
+                            kind=kind, ledger=self.ledger, rng=random.Random(rng.random()))
         await endpoint.listen()
         return endpoint
 
     async def _play(self, world: World, listing: Listing, rng: random.Random) -> None:
         for number in range(world.relays):
-            platform = Platform(relay=number, listing=listing, ledger=self.ledger)
+            platform = Platform(self.addresses.next(), relay=number, listing=listing, ledger=self.ledger)
             await platform.listen()
             self.relays.append(RelayProcess(number, self.folder / f"n{number}", world.settings(), platform,
-                                            self.ledger))
+                                            self.ledger, self.addresses.next()))
         await asyncio.gather(*(relay.start() for relay in self.relays))
-        clients = [Clients(relay.number, relay.port, list(range(len(world.destinations))), CLASSES,
+        clients = [Clients(relay.number, relay.address, list(range(len(world.destinations))), CLASSES,
                            self.ledger, random.Random(rng.random()), relay.was_killed)
                    for relay in self.relays]
         until = time.monotonic() + QUIET_S + self.plan.seconds
@@ -107,7 +111,7 @@
             return await self._endpoint(old.destination, old.kind, rng)
 
         troubles = Troubles(random.Random(rng.random()), self.relays, clients, self.endpoints, listing,
-                            self.ledger, another)
+                            self.ledger, self.addresses, another)
         async with asyncio.TaskGroup() as tasks:
             for each in clients:
                 tasks.create_task(each.run(until, self.plan.per_s))
--- a/linnetstile/soak/stand_in.py
+++ b/linnetstile/soak/stand_in.py
@@ -57,15 +57,14 @@
 class StandIn:
     """Answers each request with what `reply` returns; None resets the connection unanswered."""
 
-    address: tuple[str, int] = ("127.0.0.1", 0)
+    address: tuple[str, int]
     connections: set[Connection] = field(default_factory=set)
     silent: bool = False  # also to connections that are begun now
     server: asyncio.Server | None = None
 
     async def listen(self) -> None:
-        """Serves at its address; it keeps its port from the first time on."""
+        """Serves at its address; also again after `refuse`."""
         self.server = await asyncio.start_server(self._serve, *self.address)
-        self.address = self.server.sockets[0].getsockname()[:2]
 
     def refuse(self) -> None:
         """Resets its connections, and lets no new one begin until `listen`."""
--- a/linnetstile/soak/trouble.py
+++ b/linnetstile/soak/trouble.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from .addresses import Addresses
 from .client import Clients
 from .endpoint import Endpoint
 from .ledger import Ledger
@@ -42,6 +43,7 @@
     endpoints: list[Endpoint]
     listing: Listing
     ledger: Ledger
+    addresses: Addresses
     new_endpoint: Callable[[Endpoint], Awaitable[Endpoint]]
     folder_fails: bool = True
 
@@ -81,7 +83,8 @@
         """Discovery moves; in two of three cases the process is killed right behind the signal."""
         relay = self._relay()
         async with relay.busy:
-            successor = Platform(relay=relay.number, listing=self.listing, ledger=self.ledger)
+            successor = Platform(self.addresses.next(), relay=relay.number, listing=self.listing,
+                                 ledger=self.ledger)
             await successor.listen()
             old = relay.platform
             await relay.move_discovery(successor)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -385,3 +385,18 @@
             assert found <= tried
             assert all(host.journal.entries[ident].end == "delivered" for ident in found)
     run(work())
+
+
+def test_no_byte_leaves_between_news_of_a_drain_and_the_turn_that_hears_of_it(tmp_path: Path) -> None:
+    """The directory has the news at once, the decisions with their next turn, up to a tick later."""
+    async def work() -> None:
+        async with World(tmp_path) as world, Client(world.host.ingress.port) as client:
+            host, world.server.usual = world.host, None
+            assert await client.ask(message("m", "unsafe")) == 202
+            await world.server.came.get()
+            ((number, held),) = host.held.items()
+            (endpoint,) = host.directory.by_number
+            assert host._may_write(number, held, endpoint)
+            host.directory.apply(listing(world.server, generation=2, reset=False, state="draining"))
+            assert not host._may_write(number, held, endpoint)
+    run(work())
