Ask the endpoint list itself before a call's first and last byte

Cause: the gate asked only the decisions, which hear of a list up to a tick after it was read. Change: the directory is asked too.

--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -681,8 +681,11 @@
         return self.settings.classes[self.classes[entry.class_]].effect
 
     def _may_write(self, number: int, held: Held, endpoint: int) -> bool:
-        """Asked before the first byte on each connection, and before the last."""
-        return self.held.get(number) is held and self.relay.may_write(self.now(), number)
+        """Asked before the first byte on each connection, and before the last. What a client has taken back,
+        or a list has told, is known here before the decisions hear of it with their next turn."""
+        known = self.directory.by_number.get(endpoint)
+        ready = known is not None and known.entry.listing is api.Listing.READY
+        return ready and self.held.get(number) is held and self.relay.may_write(self.now(), number)
 
     def _wait_told(self, number: int, held: Held, wait_ms: float | None) -> None:
         """At once, not with the next turn: another call may be about to write its first byte."""
