--- a/linnetstile/soak/platform.py
+++ b/linnetstile/soak/platform.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -17,6 +18,7 @@
 MOVED_S = 4.0  # after SIGHUP the news counts as told (TERMS, "Reconfiguration")
 OLD_ENDS_S = 1.5  # so long the replaced address keeps its connections
 LOOK_S = 0.005
+ANSWER_S = 0.0, 0.06  # of a notice, as over a wide network: several are out at once, over several connections
 
 
 @dataclass
@@ -53,11 +55,13 @@
     relay: int = 0
     listing: Listing = field(default_factory=Listing)
     ledger: Ledger = field(default_factory=Ledger)
+    rng: random.Random = field(default_factory=random.Random)
     replaced_at: float = float("inf")  # from then on notices here count for nothing
 
     async def reply(self, request: Request) -> Response | None:
         if request.target.startswith("/v1/servers"):
             return await self._list(request)
+        await asyncio.sleep(self.rng.uniform(*ANSWER_S))
         for line in request.body.splitlines():
             notice = json.loads(line)
             if time.monotonic() < self.replaced_at:
