Force a change of address within the hold of a start: known to fail

Cause: the hold of a start and that of a change of address are merged into one, of up to 5.9 s. There the tests' agent left a call without a version unanswered, where the protocol gives the whole list at once; it answers it now, in that file.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -132,6 +132,7 @@
     """Discovery and outcomes: watches wait for `tell`, notices are kept in `notices`."""
 
     version: int = 1
+    whole: dict[str, Any] | None = None  # the list that a call without a version is answered with, at once
     changes: asyncio.Queue[bytes | str | None] = field(default_factory=asyncio.Queue)  # as in a script
     notices: asyncio.Queue[dict[str, Any]] = field(default_factory=asyncio.Queue)
 
@@ -148,6 +149,8 @@
     async def _news(self, target: str) -> bytes | str | None:
         """A watch ends with no entries after the time that it names; a call that names none gets a list."""
         query = dict(part.split("=") for part in target.partition("?")[2].split("&") if part)
+        if not query and self.whole is not None:
+            return answer(200, body=json.dumps(self.whole))
         try:
             async with asyncio.timeout(float(query["hold_ms"]) / 1000 if query else None):
                 return await self.changes.get()
--- a/tests/test_list_confirmation.py
+++ b/tests/test_list_confirmation.py
@@ -77,6 +77,16 @@
     assert len(driver.sent) == 1
 
 
+def test_a_change_of_address_right_after_the_start_does_not_make_the_hold_of_the_start_longer() -> None:
+    driver = begun(ask=False)
+    began = driver.now
+    driver.pass_time(50.0)
+    driver.feed(api.ListUnconfirmed(api.ListDoubt.MOVED))
+    driver.message(SAFE)
+    driver.pass_time(HOLD_MS + 50.0)
+    assert len(driver.sent) == 1 and HOLD_MS <= driver.sent[0][0] - began < HOLD_MS + 20.0
+
+
 def test_a_call_that_is_being_connected_when_the_hold_begins_is_not_written() -> None:
     driver = begun(ask=True)
     driver.feed(api.ListUnconfirmed(api.ListDoubt.MOVED))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -67,6 +67,7 @@
     agent, server = Agent(), Server()
     await agent.start()
     await server.start()
+    agent.whole = listing(server)
     return agent, server, Process(folder, agent, server)
 
 
