Count and log bytes that no request asked for, by peer and position

What callers saw: a lost message, and nothing in logs or figures that tells whether a peer sent more than its answer. Change: Link reports such bytes (in one read with an answer, between requests, before a request's end) with their distance from the answer; the host counts them by peer for /-/metrics and logs them as linnetstile.traffic. Nothing is decided differently. Measured: tests/test_management.py asks for every new figure.

--- a/linnetstile/net/agent.py
+++ b/linnetstile/net/agent.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
+from ..connection_reuse import UnsolicitedBytes
 from .config import Address
 from .link import Link, LinkLost
 
@@ -22,6 +24,7 @@
     def __init__(self, address: Address) -> None:
         self.address = address
         self.link: Link | None = None
+        self.on_unsolicited: Callable[[UnsolicitedBytes], None] = lambda found: None
 
     async def ask(self, method: str, target: str, body: bytes, seconds: float) -> tuple[int, bytes]:
         """Safe to repeat at will: the agent takes each of its requests any number of times."""
@@ -29,6 +32,7 @@
             async with asyncio.timeout(seconds):
                 if self.link is None or not self.link.usable:
                     self.link = await Link.open(self.address, ANSWER_BYTES)
+                    self.link.on_unsolicited = self._report
                 host = f"{self.address[0]}:{self.address[1]}"
                 head, answer = await self.link.ask(method, target, [("Host", host)], body)
                 return head.status, answer
@@ -39,6 +43,9 @@
             self.close()
             raise AgentError(str(error)) from error
 
+    def _report(self, found: UnsolicitedBytes) -> None:
+        self.on_unsolicited(found)
+
     def close(self) -> None:
         if self.link is not None:
             self.link.close()
--- a/linnetstile/net/egress.py
+++ b/linnetstile/net/egress.py
@@ -8,7 +8,9 @@
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 
+from ..connection_reuse import UnsolicitedBytes
 from ..interface import Outcome
 from .backoff import Backoff
 from .config import Address
@@ -187,6 +189,7 @@
         self.most_idle = most_idle
         self.idle: dict[Key, list[Link]] = {}
         self.listed: Callable[[Key], bool] = lambda key: True
+        self.on_unsolicited: Callable[[Address, UnsolicitedBytes], None] = lambda address, found: None
         self.ending: dict[Link, None] = {}  # answered, but their bodies have not come; oldest first
         self.most_ending = most_ending
         self.broke_at = -WARY_S  # when a connection that was kept broke before its call was answered
@@ -361,7 +364,9 @@
 
     async def _connect(self, address: Address) -> Link:
         async with asyncio.timeout(self.connect_s):
-            return await Link.open(address, BODY_BYTES)
+            link = await Link.open(address, BODY_BYTES)
+        link.on_unsolicited = partial(self.on_unsolicited, address)
+        return link
 
     def _keep(self, key: Key, link: Link) -> None:
         if not link.usable or not self.listed(key):
--- a/linnetstile/net/figures.py
+++ b/linnetstile/net/figures.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from ..connection_reuse import Peer, Position
 from .invariants import Invariants
 
 PREFIX = "relay"
@@ -18,6 +19,7 @@
         names = list(classes)
         # Each class from the start: a figure that is absent cannot be told from one that is lost.
         self.counts = {f"{what}.{name}": 0 for what in ("ok", "shed", "errors", "tries") for name in names}
+        self.unsolicited = {(peer, position): 0 for peer in Peer for position in Position}
         self.gauges = dict.fromkeys(("active", "pool_size", "pool_ejected"), 0)
 
     def ended(self, class_: str, state: str) -> None:
@@ -35,5 +37,7 @@
     def text(self) -> str:
         lines = [f"{PREFIX}.{name}:{value}|c\n" for name, value in self.counts.items()]
         lines += [f"{PREFIX}.{name}:{value}|g\n" for name, value in self.gauges.items()]
+        lines += [f"{PREFIX}.unsolicited.{peer}.{position}:{count}|c\n"
+                  for (peer, position), count in self.unsolicited.items()]
         lines += [f"{PREFIX}.breaches.{rule}:{count}|c\n" for rule, count in self.invariants.breaches.items()]
         return "".join(lines)
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -12,6 +12,7 @@
 
 from .. import interface as api
 from .. import liveness
+from ..connection_reuse import Peer, UnsolicitedBytes
 from ..control import Relay
 from . import clock
 from .agent import Agent
@@ -91,6 +92,7 @@
         self.dests: dict[int, float] = {}  # destinations that are known though none is listed: until when
         self.egress = Egress(config.settings.idle_ms, config.settings.connect_timeout_ms, 1, 1,
                              config.settings.report_fields, self._written)
+        self.egress.on_unsolicited = partial(self._count_unsolicited, Peer.ENDPOINT)
         self.figures = Figures(self.classes, self.invariants)
         self.untold: dict[str, Entry] = {}  # ended, but not on file yet: told by their time at the latest
         self.found: set[str] = set()  # ids that an earlier process left: their time may be over
@@ -103,9 +105,9 @@
         self.linked = api.Mode.CALLS
         self._share()
         self.news = asyncio.Event()  # discovery has told something
-        self.watch = Watch(Agent(config.discovery), self.directory, self.told_by_discovery,
+        self.watch = Watch(self._agent(Peer.DISCOVERY), self.directory, self.told_by_discovery,
                            config.settings.relays, not config.settings.ask_for_list)
-        self.notices = Notices(Agent(config.discovery), self.noticed)
+        self.notices = Notices(self._agent(Peer.OUTCOMES), self.noticed)
         self.tasks = Tasks()
         self.watchdog = Watchdog(self._look_at)
         self.talks: list[asyncio.Task[None]] = []  # with the agent: the watch and the notices
@@ -127,6 +129,17 @@
     def now() -> float:
         return asyncio.get_running_loop().time() * 1000
 
+    def _agent(self, peer: Peer) -> Agent:
+        """A connection to the platform at the address that is configured now."""
+        agent = Agent(self.config.discovery)
+        agent.on_unsolicited = partial(self._count_unsolicited, peer, agent.address)
+        return agent
+
+    def _count_unsolicited(self, peer: Peer, address: Address, found: UnsolicitedBytes) -> None:
+        self.figures.unsolicited[peer, found.position] += 1
+        traffic.info("unsolicited: %d bytes from %s %s:%d, %s, %.1f ms after an answer, request %d",
+                     found.size, peer, *address, found.position, 1000 * found.since_answer_s, found.requests)
+
     # -- life --------------------------------------------------------------------------------------------
 
     async def start(self) -> None:
@@ -182,9 +195,9 @@
         self.watch.agent.close()
         self.notices.close()
         self.config = replace(self.config, discovery=config.discovery)
-        self.watch.move(Agent(config.discovery))
+        self.watch.move(self._agent(Peer.DISCOVERY))
         self._feed(api.ListUnconfirmed(api.ListDoubt.MOVED))
-        self.notices.move(Agent(config.discovery))
+        self.notices.move(self._agent(Peer.OUTCOMES))
         self._talk()
         log.info("discovery is at %s:%d from now on", *config.discovery)
 
--- a/linnetstile/net/link.py
+++ b/linnetstile/net/link.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from ..connection_reuse import Position, UnsolicitedBytes
 from .config import Address
 from .sockets import connected
 from .system_errors import NOT_BEGUN
@@ -67,6 +68,7 @@
         self.ends = False  # what is being written ends with that byte
         self.code = 0  # by the first line, whatever comes after it; 0 until then
         self.heard: Callable[[int, Head | None], None] | None = None  # told of a head, or of one on its way
+        self.on_unsolicited: Callable[[UnsolicitedBytes], None] = lambda found: None
         self.status: asyncio.Future[int] = loop.create_future()  # tells of it
         self.head: asyncio.Future[Head] = loop.create_future()
         self.whole: asyncio.Future[bytes] = loop.create_future()
@@ -182,13 +184,19 @@
     def data_received(self, data: bytes) -> None:
         if not self.busy:
             # Guards the next call: what comes unasked would be taken for its answer.
+            self._report(Position.IDLE, len(data))
             self.close()
             return
         if self.last_byte:
+            self._report(Position.BEFORE_REQUEST_END, len(data))
             self._lose("something came before the request was whole")
             return
         self._feed(data)
 
+    def _report(self, position: Position, size: int) -> None:
+        since_answer_s = asyncio.get_running_loop().time() - self.idle_since
+        self.on_unsolicited(UnsolicitedBytes(position, size, since_answer_s, self.calls))
+
     def eof_received(self) -> None:
         if self.busy:
             self._feed(b"")
@@ -258,10 +266,11 @@
 
     def _answered(self) -> None:
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
-            stray = bool(self.http.trailing_data[0])
+            stray = self.http.trailing_data[0]
             self.http.start_next_cycle()
-            self.busy, self.idle_since = stray, asyncio.get_running_loop().time()
+            self.busy, self.idle_since = bool(stray), asyncio.get_running_loop().time()
             if stray:
+                self._report(Position.WITH_ANSWER, len(stray))
                 self.close()
         else:
             self.close()
--- a/linnetstile/net/outcomes.py
+++ b/linnetstile/net/outcomes.py
@@ -88,6 +88,8 @@
         late: it may have been replaced already, and what it was told then counts for nothing."""
         self.agent = agent
         self.ways = [agent] + [Agent(agent.address) for _ in range(WAYS - 1)]
+        for way in self.ways:
+            way.on_unsolicited = agent.on_unsolicited
         self.free = list(self.ways)  # the one that answered last comes first
         for told in self._recently_told():
             if told.ident not in self.waiting:
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -16,6 +16,7 @@
 import pytest
 
 from linnetstile import interface as api
+from linnetstile.connection_reuse import Peer, Position
 from linnetstile.net.invariants import Rule
 from linnetstile.net import ingress, management
 from linnetstile.net.config import ConfigError, load
@@ -167,6 +168,7 @@
             assert await figures(host) == {
                 **{f"{what}.{name}": 0 for what in ("ok", "shed", "errors", "tries")
                    for name in ("keyed", "unsafe", "safe")}, "active": 0, "pool_size": 1, "pool_ejected": 0,
+                **{f"unsolicited.{peer}.{position}": 0 for peer in Peer for position in Position},
                 **{f"breaches.{rule}": 0 for rule in Rule}}
             assert await client.ask(message("a")) == 202
             await until(lambda: host.journal.entries["a"].end == "delivered")
