--- a/linnetstile/soak/stand_in.py
+++ b/linnetstile/soak/stand_in.py
@@ -8,7 +8,10 @@
 
 import h11
 
+from .extra_bytes import Extra
+
 READ_BYTES = 65536
+STALL_S = 0.002  # extras that this process could not write in time are left out: their gap would be longer
 
 
 @dataclass(slots=True)
@@ -43,6 +46,8 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     silent: bool = False  # nothing is read from it or written to it any more
+    request_begun_at: float | None = None  # the first byte of the request that is being read or answered
+    extras: set[asyncio.Task[None]] = field(default_factory=set)
 
     @property
     def ended(self) -> bool:
@@ -55,12 +60,16 @@
 
 @dataclass
 class StandIn:
-    """Answers each request with what `reply` returns; None resets the connection unanswered."""
+    """Answers each request with what `reply` returns; None resets the connection unanswered.
+
+    It stands at the end of a path that takes `path_s` each way: what it reads has been on its way for so long
+    before it may act on it, and what it writes leaves so much later."""
 
     address: tuple[str, int]
     connections: set[Connection] = field(default_factory=set)
     silent: bool = False  # also to connections that are begun now
     server: asyncio.Server | None = None
+    path_s: float = 0.0
 
     async def listen(self) -> None:
         """Serves at its address; also again after `refuse`."""
@@ -95,6 +104,10 @@
     async def reply(self, request: Request) -> Response | None:
         raise NotImplementedError
 
+    def extra(self, request: Request, response: Response) -> Extra | None:
+        """What it sends beyond this answer, while nothing else waits on the connection."""
+        return None
+
     def written(self, request: Request, response: Response) -> None:
         """Called right after a whole answer was written to a connection that the other side still has."""
 
@@ -103,7 +116,9 @@
         self.connections.add(connection)
         try:
             while (request := await read_request(connection)) is not None:
+                await asyncio.sleep(self.path_s)
                 response = await self.reply(request)
+                await asyncio.sleep(self.path_s)
                 if connection.silent:
                     await asyncio.sleep(float("inf"))
                 if response is None:
@@ -126,8 +141,25 @@
             connection.writer.write(data[: response.cut_at])
             connection.writer.close()
             return
+        extra = self.extra(request, response)
+        if extra is not None and extra.after_s is None:
+            data += extra.data
         connection.writer.write(data)
+        connection.request_begun_at = None
         self.written(request, response)
+        if extra is not None and extra.after_s is not None:
+            task = asyncio.create_task(self._write_extra(connection, extra.data, extra.after_s))
+            connection.extras.add(task)
+            task.add_done_callback(connection.extras.discard)
+
+    async def _write_extra(self, connection: Connection, data: bytes, after_s: float) -> None:
+        """Left out where the next request had come to the far end of the path by then."""
+        due = time.monotonic() + after_s
+        await asyncio.sleep(after_s)
+        begun_at = connection.request_begun_at
+        waits = begun_at is not None and begun_at <= due - 2 * self.path_s
+        if not waits and not connection.silent and not connection.ended and time.monotonic() < due + STALL_S:
+            connection.writer.write(data)
 
 
 async def read_request(connection: Connection) -> Request | None:
@@ -140,6 +172,7 @@
             if connection.silent:
                 await asyncio.sleep(float("inf"))
             begun_at = begun_at or time.monotonic()
+            connection.request_begun_at = begun_at
             http.receive_data(data)
         elif isinstance(event, h11.Request):
             headers = {name.decode().lower(): value.decode() for name, value in event.headers}
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any, Self
+from typing import Any, Protocol, Self
 
 import h11
 
@@ -162,8 +162,15 @@
         self.changes.put_nowait(answer(200, body=json.dumps(raw)))
 
 
+class Addressed(Protocol):
+    """Whatever serves at an address."""
+
+    @property
+    def address(self) -> tuple[str, int]: ...
+
+
 def listing(
-    *servers: Server, generation: int = 1, reset: bool = True, state: str = "ready"
+    *servers: Addressed, generation: int = 1, reset: bool = True, state: str = "ready"
 ) -> dict[str, Any]:
     return {"generation": generation, "reset": reset, "instances": [
         {"instanceId": f"s-{server.address[1]}", "hostPort": "{}:{}".format(*server.address), "zone": "z",
