Do not believe changes of the list up to an older version than is known

Change: such an answer is refused, and the next call asks for the whole list. A whole list of a lower version is still believed: a platform may count anew. Measured: the test failed before (nothing was raised).

--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -80,6 +80,9 @@
             items = list(raw["instances"])
         except (KeyError, TypeError, OverflowError) as error:
             raise ValueError(f"malformed list: {error!r}") from error
+        if not whole and version < self.version:
+            self.version = -1  # what this process has cannot be trusted either: the next call asks for all
+            raise ValueError("changes up to an older version than is known")
         found = [known for known in map(self._readable, items) if known is not None]
         if whole:
             self.left.update(self.dests)
--- a/tests/test_list_confirmation.py
+++ b/tests/test_list_confirmation.py
@@ -6,6 +6,7 @@
 
 from linnetstile import interface as api
 from linnetstile.list_confirmation import HOLD_MS, MOVED_MS
+from linnetstile.net.discovery import Directory
 
 from .conftest import SAFE, Driver, make_settings
 
@@ -96,3 +97,13 @@
     assert not driver.relay.may_write(driver.now + 20.0, ident)
     driver.feed(NEWS)
     assert driver.relay.may_write(driver.now + 20.0, ident)
+
+
+def test_changes_up_to_an_older_version_are_not_believed_and_all_is_asked_for() -> None:
+    directory = Directory(("k",), ("z",))
+    directory.apply({"generation": 5, "reset": True, "instances": []})
+    with pytest.raises(ValueError, match="older version"):
+        directory.apply({"generation": 4, "reset": False, "instances": []})
+    assert directory.version == -1
+    directory.apply({"generation": 2, "reset": True, "instances": []})  # a platform that counts anew
+    assert directory.version == 2
