Keep a connection's bytes while send fails for want of memory

What callers saw: their connection was closed with no answer, though their request had been read: a lost message by the protocol. Endpoints' calls failed as if the endpoint were unreachable. Cause: asyncio ends a connection after any error of send(2) but EAGAIN and EINTR; ENOBUFS and ENOMEM say that the system could not queue the bytes just now. Change: sockets of clients, endpoints and the platform report these as blocking, so that asyncio keeps the bytes and writes again. Measured: with every third send failing (real process, shim), both new cases failed before (clients read no bytes), pass now; the five send cases pass.

--- a/linnetstile/net/sockets.py
+++ b/linnetstile/net/sockets.py
@@ -11,10 +11,12 @@
 import logging
 import socket
 import struct
-from contextlib import suppress
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from typing import Any
 
 from .config import Address
-from .system_errors import ACCEPT_NEXT
+from .system_errors import ACCEPT_NEXT, SEND_AGAIN
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +33,34 @@
 INSTRUCTION_BYTES = 8
 
 
+@contextmanager
+def _would_block() -> Iterator[None]:
+    try:
+        yield
+    except OSError as error:
+        if error.errno in SEND_AGAIN:
+            raise BlockingIOError(error.errno, error.strerror) from error
+        raise
+
+
+class PatientSocket(socket.socket):
+    """A connection whose bytes are kept while the system lacks the memory to send them: asyncio writes again
+    what would have blocked, and ends the connection after any other error."""
+
+    def send(self, *args: Any) -> int:
+        with _would_block():
+            return super().send(*args)
+
+    def sendmsg(self, *args: Any) -> int:  # what later versions of asyncio call
+        with _would_block():
+            return super().sendmsg(*args)
+
+    @classmethod
+    def of(cls, sock: socket.socket) -> PatientSocket:
+        """Takes over the descriptor."""
+        return cls(sock.family, sock.type, sock.proto, fileno=sock.detach())
+
+
 def family_of(host: str) -> socket.AddressFamily:
     return socket.AF_INET6 if ":" in host else socket.AF_INET
 
@@ -69,9 +99,10 @@
                 raise
             log.info("a connection ended before it was accepted: %s", error)
             continue
-        sock.setblocking(False)
-        without_delay(sock)
-        return sock
+        patient = PatientSocket.of(sock)
+        patient.setblocking(False)
+        without_delay(patient)
+        return patient
 
 
 def turn_away(listener: socket.socket) -> None:
@@ -88,7 +119,7 @@
 
 async def connected(address: Address) -> socket.socket:
     """OSError as of socket(2) and connect(2)."""
-    sock = socket.socket(family_of(address[0]), socket.SOCK_STREAM)
+    sock = PatientSocket(family_of(address[0]), socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
         await asyncio.get_running_loop().sock_connect(sock, address)
--- a/linnetstile/net/system_errors.py
+++ b/linnetstile/net/system_errors.py
@@ -11,6 +11,9 @@
 # Something of this machine's is used up for a moment.
 SHORTAGE = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN, errno.EINTR))
 
+# send(2) says so while it could not queue the bytes; the connection is sound.
+SEND_AGAIN = frozenset((errno.ENOBUFS, errno.ENOMEM))
+
 # A connection that was never begun: no port, no route, no interface, no leave. A peer cannot cause these.
 NOT_BEGUN = SHORTAGE | {errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.ENETUNREACH, errno.ENETDOWN, errno.EPERM,
                         errno.EACCES}
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -35,7 +35,8 @@
     *(("socket", kind) for kind in ("EMFILE", "ENFILE", "ENOBUFS", "ENOMEM")),
     *(("connect", kind) for kind in ("EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS")),
     *(("setsockopt", kind) for kind in ("EINVAL", "ENOBUFS", "ENOPROTOOPT")),
-    ("recv", "EINTR"), ("send", "EAGAIN"), ("send", "EINTR"), ("short_send", "EAGAIN"),
+    ("recv", "EINTR"), ("send", "EAGAIN"), ("send", "EINTR"),
+    ("send", "ENOBUFS"), ("send", "ENOMEM"), ("short_send", "EAGAIN"),
 ]
 
 
