Let a kept connection rest before its next request, and decide that in one place

What callers saw: accepted messages without an end, and calls made again after their 200. A peer that sent a second copy of a good answer, or noise behind it, answered the next request on that connection, which it had not read. Cause: a kept connection was used again in the turn in which its answer came; over a path that takes time the extra bytes were still on their way. Link, Egress and Agent each held a part of the guard; the platform's connections did not look for unread bytes at all. Unread bytes are looked for before the first and the last byte. A peer whose extras come later rests longer for a while. A notice whose answer on a used connection is followed by bytes or by the connection's end is told again. An invariant (answer_of_request) counts answers on connections that did not rest. Two tests keep what they assert with the rest set to 0, since they are about connections that have rested (held-back last bytes while connections break; a notice over the connection that answered): a call in the turn of an answer now waits, or goes on another connection.

--- a/linnetstile/net/agent.py
+++ b/linnetstile/net/agent.py
@@ -5,9 +5,9 @@
 import asyncio
 from collections.abc import Callable
 
-from ..connection_reuse import UnsolicitedBytes
+from ..connection_reuse import ReusePolicy, UnsolicitedBytes, casts_doubt
 from .config import Address
-from .link import Link, LinkLost
+from .link import Head, Link, LinkLost
 
 ANSWER_BYTES = 64 << 20  # a whole list of 250,000 endpoints, 170 bytes each, is 42.5 MB
 
@@ -21,20 +21,26 @@
 
 
 class Agent:
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, reuse: ReusePolicy | None = None) -> None:
         self.address = address
+        self.reuse = reuse or ReusePolicy()
         self.link: Link | None = None
         self.on_unsolicited: Callable[[UnsolicitedBytes], None] = lambda found: None
+        self.on_answer: Callable[[Link], None] = lambda link: None
+        self.on_doubt: Callable[[], None] = lambda: None  # what follows the last answer casts doubt on it
+        self.in_doubt = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether a request would go out at once: on a connection that has rested, or on a new one."""
+        return self.link is None or not self.link.usable or self._hold_s(self.link) == 0.0
 
     async def ask(self, method: str, target: str, body: bytes, seconds: float) -> tuple[int, bytes]:
         """Safe to repeat at will: the agent takes each of its requests any number of times."""
+        self.in_doubt = False
         try:
             async with asyncio.timeout(seconds):
-                if self.link is None or not self.link.usable:
-                    self.link = await Link.open(self.address, ANSWER_BYTES)
-                    self.link.on_unsolicited = self._report
-                host = f"{self.address[0]}:{self.address[1]}"
-                head, answer = await self.link.ask(method, target, [("Host", host)], body)
+                head, answer = await self._ask(method, target, body)
                 return head.status, answer
         except TimeoutError as error:
             self.close()
@@ -43,8 +49,46 @@
             self.close()
             raise AgentError(str(error)) from error
 
-    def _report(self, found: UnsolicitedBytes) -> None:
+    async def _ask(self, method: str, target: str, body: bytes) -> tuple[Head, bytes]:
+        """A kept connection that breaks before the request's last byte costs no more than a new one."""
+        headers = [("Host", f"{self.address[0]}:{self.address[1]}")]
+        kept = self._kept()
+        if kept is not None:
+            try:
+                return await kept.ask(method, target, headers, body, self._hold_s(kept) or None)
+            except LinkLost:
+                if kept.out:
+                    raise
+                kept.close()
+        self.link = link = await Link.open(self.address, ANSWER_BYTES)
+        self.in_doubt = False
+        link.on_answer = self.on_answer
+        link.on_unsolicited = self._unsolicited
+        link.on_idle_end = self._idle_end
+        return await link.ask(method, target, headers, body)
+
+    def _kept(self) -> Link | None:
+        """The connection of before, if it may carry another request."""
+        link = self.link
+        if link is None or not link.usable:
+            return None
+        if link.quiet and self._hold_s(link) is not None:
+            return link
+        link.close()
+        return None
+
+    def _hold_s(self, link: Link) -> float | None:
+        return self.reuse.hold_s(self.address, asyncio.get_running_loop().time(), link.idle_since)
+
+    def _unsolicited(self, found: UnsolicitedBytes) -> None:
+        self.reuse.observe(self.address, asyncio.get_running_loop().time(), found)
         self.on_unsolicited(found)
+        self._idle_end(found.answered, found.since_answer_s)
+
+    def _idle_end(self, answered: int, since_answer_s: float) -> None:
+        if casts_doubt(answered, since_answer_s):
+            self.in_doubt = True
+            self.on_doubt()
 
     def close(self) -> None:
         if self.link is not None:
--- a/linnetstile/net/egress.py
+++ b/linnetstile/net/egress.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field, replace
 from functools import partial
 
-from ..connection_reuse import UnsolicitedBytes
+from ..connection_reuse import ReusePolicy, UnsolicitedBytes
 from ..interface import Outcome
 from .backoff import Backoff
 from .config import Address
@@ -190,6 +190,8 @@
         self.idle: dict[Key, list[Link]] = {}
         self.listed: Callable[[Key], bool] = lambda key: True
         self.on_unsolicited: Callable[[Address, UnsolicitedBytes], None] = lambda address, found: None
+        self.on_answer: Callable[[Address, Link], None] = lambda address, link: None
+        self.reuse = ReusePolicy()
         self.ending: dict[Link, None] = {}  # answered, but their bodies have not come; oldest first
         self.most_ending = most_ending
         self.broke_at = -WARY_S  # when a connection that was kept broke before its call was answered
@@ -270,7 +272,7 @@
             kept = link is not None
             trip.link = link = link or await self._begun(calls[0].address, trip)
             sent = [call for call in calls if call.may_write()]
-            hold_s = self._hold_s(sent, kept)
+            hold_s = self._hold_s(sent, link, kept)
             trip.sent = sent = [call for call in sent if call.note()] if hold_s is None else sent
             if not sent:
                 trip.free = False
@@ -299,8 +301,15 @@
                 trip.link = None
         raise LinkLost("no connection stays up")
 
-    def _hold_s(self, calls: list[Call], kept: bool) -> float | None:
-        """How long the last byte is held back; None if all goes out as one. Guards against resets that say
+    def _hold_s(self, calls: list[Call], link: Link, kept: bool) -> float | None:
+        """How long the last byte is held back; None if all goes out as one."""
+        holds = [self._hold_of_calls_s(calls, kept)]
+        if kept and calls:
+            holds.append(self._rest_s(calls[0].address, link) or None)
+        return max((hold_s for hold_s in holds if hold_s is not None), default=None)
+
+    def _hold_of_calls_s(self, calls: list[Call], kept: bool) -> float | None:
+        """For what the calls are, whatever connection they go on. Guards against resets that say
         nothing: a call begins with its last byte, so a connection that breaks before it, as one does that
         had ended unnoticed, proves that nothing ran. What may not fit into the socket at once leaves later
         than it is written: whether it still may is asked again before its last byte."""
@@ -343,13 +352,28 @@
 
     def _pooled(self, key: Key) -> Link | None:
         links = self.idle.get(key, [])
-        while links:
-            link = links.pop()
+        while (best := self._best_rested(key, links)) is not None:
+            link = links.pop(best)
             if self._fresh(link) and link.quiet:
                 return link
             link.close()
         return None
 
+    def _best_rested(self, key: Key, links: list[Link]) -> int | None:
+        """Of connections that were answered one after the other: the last that has rested, else the one that
+        rests for longest."""
+        for index in reversed(range(len(links))):
+            if self._rest_s(key[1], links[index]) == 0.0:
+                return index
+        return 0 if links and self._rest_s(key[1], links[0]) is not None else None
+
+    def _rest_s(self, address: Address, link: Link) -> float | None:
+        return self.reuse.hold_s(address, asyncio.get_running_loop().time(), link.idle_since)
+
+    def _observe(self, address: Address, found: UnsolicitedBytes) -> None:
+        self.reuse.observe(address, asyncio.get_running_loop().time(), found)
+        self.on_unsolicited(address, found)
+
     async def _begun(self, address: Address, trip: Trip) -> Link:
         """A new connection. Where this machine cannot begin one it tries again until the call is given up."""
         pauses = Backoff(AGAIN_S, AGAIN_MOST_S)
@@ -365,7 +389,8 @@
     async def _connect(self, address: Address) -> Link:
         async with asyncio.timeout(self.connect_s):
             link = await Link.open(address, BODY_BYTES)
-        link.on_unsolicited = partial(self.on_unsolicited, address)
+        link.on_unsolicited = partial(self._observe, address)
+        link.on_answer = partial(self.on_answer, address)
         return link
 
     def _keep(self, key: Key, link: Link) -> None:
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -26,6 +26,7 @@
 from .intake import Intake, Malformed
 from .invariants import LATE_MS, Invariants, Rule
 from .journal import Entry, Journal, JournalError
+from .link import Link
 from .management import SOCKETS as DOOR_SOCKETS
 from .management import Answer as Told
 from .management import Call as Ask
@@ -93,6 +94,7 @@
         self.egress = Egress(config.settings.idle_ms, config.settings.connect_timeout_ms, 1, 1,
                              config.settings.report_fields, self._written)
         self.egress.on_unsolicited = partial(self._count_unsolicited, Peer.ENDPOINT)
+        self.egress.on_answer = partial(self._check_answer, Peer.ENDPOINT)
         self.figures = Figures(self.classes, self.invariants)
         self.untold: dict[str, Entry] = {}  # ended, but not on file yet: told by their time at the latest
         self.found: set[str] = set()  # ids that an earlier process left: their time may be over
@@ -133,12 +135,17 @@
         """A connection to the platform at the address that is configured now."""
         agent = Agent(self.config.discovery)
         agent.on_unsolicited = partial(self._count_unsolicited, peer, agent.address)
+        agent.on_answer = partial(self._check_answer, peer, agent.address)
         return agent
 
+    def _check_answer(self, peer: Peer, address: Address, link: Link) -> None:
+        what = f"{peer} {address[0]}:{address[1]}, {1000 * link.rested_to_end:.1f} ms after an answer"
+        self.invariants.check(Rule.ANSWER_OF_REQUEST, link.attributable, what)
+
     def _count_unsolicited(self, peer: Peer, address: Address, found: UnsolicitedBytes) -> None:
         self.figures.unsolicited[peer, found.position] += 1
-        traffic.info("unsolicited: %d bytes from %s %s:%d, %s, %.1f ms after an answer, request %d",
-                     found.size, peer, *address, found.position, 1000 * found.since_answer_s, found.requests)
+        traffic.info("unsolicited: %d bytes from %s %s:%d, %s, %.1f ms after answer %d",
+                     found.size, peer, *address, found.position, 1000 * found.since_answer_s, found.answered)
 
     # -- life --------------------------------------------------------------------------------------------
 
--- a/linnetstile/net/invariants.py
+++ b/linnetstile/net/invariants.py
@@ -24,6 +24,7 @@
     SENT_IN_TIME = "sent_in_time"  # nor past its time, or past its key's window after an unclear attempt
     SENT_TO_READY = "sent_to_ready"  # nor to an endpoint that drains or is gone
     ONE_ATTEMPT = "one_attempt"  # never are two attempts of one message out
+    ANSWER_OF_REQUEST = "answer_of_request"  # what is taken for an answer can belong to no earlier request
     ONE_END = "one_end"  # a message ends once
     END_IN_TIME = "end_in_time"  # and in its time
     LEFT_BEHIND = "left_behind"  # every held message has a call out, a timer, or an end on its way
--- a/linnetstile/net/link.py
+++ b/linnetstile/net/link.py
@@ -11,7 +11,7 @@
 
 import h11
 
-from ..connection_reuse import Position, UnsolicitedBytes
+from ..connection_reuse import Position, UnsolicitedBytes, is_attributable
 from .config import Address
 from .sockets import connected
 from .system_errors import NOT_BEGUN
@@ -43,14 +43,14 @@
     return {name.decode("latin-1").lower(): value.decode("latin-1") for name, value in headers}
 
 
-def polled(transport: asyncio.BaseTransport | None, events: int) -> bool:
-    """Whether the socket says any of these by now, also if the loop has not been told yet; or is closed."""
+def polled(transport: asyncio.BaseTransport | None, events: int) -> int:
+    """Which of these the socket says by now, also if the loop has not been told; POLLNVAL if it is closed."""
     sock = transport.get_extra_info("socket") if transport is not None else None
     if sock is None or sock.fileno() < 0:
-        return True
+        return select.POLLNVAL
     poll = select.poll()
     poll.register(sock.fileno(), events)
-    return bool(poll.poll(0))
+    return sum(found for _, found in poll.poll(0))
 
 
 class Link(asyncio.Protocol):
@@ -69,6 +69,8 @@
         self.code = 0  # by the first line, whatever comes after it; 0 until then
         self.heard: Callable[[int, Head | None], None] | None = None  # told of a head, or of one on its way
         self.on_unsolicited: Callable[[UnsolicitedBytes], None] = lambda found: None
+        self.on_idle_end: Callable[[int, float], None] = lambda answered, since_answer_s: None
+        self.on_answer: Callable[[Link], None] = lambda link: None  # once its status is known
         self.status: asyncio.Future[int] = loop.create_future()  # tells of it
         self.head: asyncio.Future[Head] = loop.create_future()
         self.whole: asyncio.Future[bytes] = loop.create_future()
@@ -78,6 +80,8 @@
         self.pieces = 0
         self.calls = 0  # this one included
         self.rested = 0.0  # seconds between the last answer and this call
+        self.rested_to_end = 0.0  # and the last byte of its request
+        self.unread = False  # whether bytes had come by then
 
     @classmethod
     async def open(cls, address: Address, body_bytes: int) -> Link:
@@ -101,7 +105,21 @@
     @property
     def quiet(self) -> bool:
         """Guards the next call against a second answer that lies unread, or an end not yet noticed."""
-        return not polled(self.transport, select.POLLIN | select.POLLRDHUP)
+        found = polled(self.transport, select.POLLIN | select.POLLRDHUP)
+        if found == select.POLLIN and not self.unread:
+            self.unread = True
+            self._report(Position.BEFORE_REQUEST_END if self.busy else Position.IDLE, 0)
+        return not found
+
+    @property
+    def attributable(self) -> bool:
+        """Whether what comes now answers the request that is out."""
+        return is_attributable(self.calls > 1, self.rested_to_end, self.unread)
+
+    @property
+    def answered(self) -> int:
+        """How many requests have been answered on it."""
+        return self.calls - 1 if self.busy else self.calls
 
     @property
     def read_head(self) -> Head | None:
@@ -120,6 +138,9 @@
         called."""
         if not self.usable or self.transport is None:
             raise LinkLost("the connection is closed")
+        if self.calls and not self.quiet:
+            self.close()
+            raise LinkLost("something came before the request")
         loop = asyncio.get_running_loop()
         self.busy, self.out, self.code, self.pieces, self.calls = True, False, 0, 0, self.calls + 1
         self.rested = loop.time() - self.idle_since
@@ -144,12 +165,17 @@
         """Writes what `send` held back."""
         if self.transport is None or self.status.done():
             raise LinkLost("the connection broke before the request was whole")
+        if not self.quiet:
+            self.close()
+            raise LinkLost("something came before the request was whole")
         last, self.last_byte = self.last_byte, b""
         if last:
             await self._write(self.transport, last)
 
     async def _write(self, transport: asyncio.Transport, data: bytes, ends: bool = True) -> None:
         self.ends = ends
+        if ends:
+            self.rested_to_end = asyncio.get_running_loop().time() - self.idle_since
         transport.write(data)
         # A first write that fails closes the transport at once, and has not taken the whole request.
         if transport.is_closing():
@@ -160,9 +186,12 @@
         else:
             self.out = ends
 
-    async def ask(self, method: str, target: str, headers: Headers, body: bytes = b"") -> tuple[Head, bytes]:
-        """One request and its whole answer."""
-        await self.send(method, target, headers, body)
+    async def ask(self, method: str, target: str, headers: Headers, body: bytes = b"",
+                  hold_s: float | None = None) -> tuple[Head, bytes]:
+        """One request, its last byte held back for so many seconds, and its whole answer."""
+        await self.send(method, target, headers, body, hold_s)
+        if hold_s is not None:
+            await self.finish()
         head = await self.head
         return head, await self.whole
 
@@ -194,15 +223,22 @@
         self._feed(data)
 
     def _report(self, position: Position, size: int) -> None:
-        since_answer_s = asyncio.get_running_loop().time() - self.idle_since
-        self.on_unsolicited(UnsolicitedBytes(position, size, since_answer_s, self.calls))
+        answered = self.calls if position is Position.WITH_ANSWER else self.answered
+        self.on_unsolicited(UnsolicitedBytes(position, size, self._since_answer_s(), answered))
+
+    def _since_answer_s(self) -> float:
+        return asyncio.get_running_loop().time() - self.idle_since
 
     def eof_received(self) -> None:
         if self.busy:
             self._feed(b"")
+        else:
+            self.on_idle_end(self.answered, self._since_answer_s())
         self._lose("the connection ended")
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if exc is not None and not self.busy:
+            self.on_idle_end(self.answered, self._since_answer_s())
         self._lose("the connection broke" if exc else "the connection was closed")
 
     def _read_status(self, data: bytes) -> None:
@@ -222,6 +258,7 @@
     def _says(self, code: int) -> None:
         """Kept apart from the future, which ends with whoever waits for it."""
         self.code = code
+        self.on_answer(self)
         if not self.status.done():
             self.status.set_result(code)
 
--- a/linnetstile/net/outcomes.py
+++ b/linnetstile/net/outcomes.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 
 from .agent import Agent, AgentError, Silent
 from .backoff import Backoff
@@ -87,9 +88,11 @@
         """What waits, or was out unanswered, goes to this agent. So does what the old one has answered of
         late: it may have been replaced already, and what it was told then counts for nothing."""
         self.agent = agent
-        self.ways = [agent] + [Agent(agent.address) for _ in range(WAYS - 1)]
+        self.ways = [agent] + [Agent(agent.address, agent.reuse) for _ in range(WAYS - 1)]
+        self.last_told: dict[Agent, list[Told]] = {}  # by the last answer on that connection
         for way in self.ways:
-            way.on_unsolicited = agent.on_unsolicited
+            way.on_unsolicited, way.on_answer = agent.on_unsolicited, agent.on_answer
+            way.on_doubt = partial(self._doubt, way)
         self.free = list(self.ways)  # the one that answered last comes first
         for told in self._recently_told():
             if told.ident not in self.waiting:
@@ -99,6 +102,13 @@
         self.quiet_until = 0.0
         self.wake.set()
 
+    def _doubt(self, way: Agent) -> None:
+        """The last answer on that connection may have been another's: what it acknowledged is told again."""
+        for told in self.last_told.pop(way, []):
+            if told.ident not in self.waiting:
+                log.info("notices: %s is told again, its answer is in doubt", told.ident)
+                self._wait(told.ident, told.line)
+
     def _recently_told(self) -> list[Told]:
         while self.recent and self.recent[0].at < asyncio.get_running_loop().time() - RECENT_S:
             self.recent.popleft()
@@ -134,12 +144,15 @@
         return due
 
     def _way(self, again: bool) -> Agent:
-        """A connection that is free. For what goes out again it is a new one, and none that was kept is used
-        any more: connections to one place fall silent together."""
+        """A connection that is free: the one that answered last, of those that are ready, else the one that
+        has rested longest. For what goes out again it is a new one, and none that was kept is used any more:
+        connections to one place fall silent together."""
         if again:
             for way in self.free:
                 way.close()
-        return self.free.pop(0)
+        way = next((way for way in self.free if way.ready), self.free[-1])
+        self.free.remove(way)
+        return way
 
     def _lines(self, idents: list[str], now: float) -> bytes:
         for ident in idents:
@@ -159,7 +172,10 @@
     async def _send(self, way: Agent, idents: list[str], body: bytes) -> None:
         try:
             status, _ = await way.ask("POST", "/v1/outcomes", body, ANSWER_S)
-            self._answered(idents, status)
+            if way.in_doubt:
+                self._repeat(idents)
+            else:
+                self.last_told[way] = self._answered(idents, status)
         except Silent as error:
             log.warning("notices: %s", error)  # they are on their way over another connection
         except AgentError as error:
@@ -173,7 +189,14 @@
                 self.free.insert(0, way)
             self.wake.set()
 
-    def _answered(self, idents: list[str], status: int) -> None:
+    def _repeat(self, idents: list[str]) -> None:
+        """At once, as if for the first time: what came behind the answer may be the true one."""
+        log.info("notices: %d are told again, their answer is in doubt", len(idents))
+        for ident in idents:
+            if (notice := self.waiting.get(ident)) is not None:
+                notice.due_at, notice.tries = 0.0, 0
+
+    def _answered(self, idents: list[str], status: int) -> list[Told]:
         if status != 204:
             # Guards the others against one line that is not taken: from here on, one by one and in turn.
             self.batch = 1
@@ -183,17 +206,18 @@
         self.batch = min(BATCH, 2 * self.batch)
         self.backoff.reset()
         now = asyncio.get_running_loop().time()
-        told = []
+        told = list[Told]()
         for ident in idents:
             if (notice := self.waiting.pop(ident, None)) is not None:
-                told.append(ident)
-                self.recent.append(Told(now, ident, notice.line))
+                told.append(Told(now, ident, notice.line))
                 if now > notice.added_at + LATE_S:
                     log.info("notices: %s is told after %.0f ms, at try %d", ident,
                              1000 * (now - notice.added_at), notice.tries)
+        self.recent += told
         self._recently_told()
         if told:
-            self.told(told)
+            self.told([each.ident for each in told])
+        return told
 
     def _failed(self, idents: list[str]) -> None:
         """They go out again after a pause: a short one while they are urgent, then one that grows from
--- a/linnetstile/soak/__main__.py
+++ b/linnetstile/soak/__main__.py
@@ -10,11 +10,13 @@
 from contextlib import contextmanager
 from pathlib import Path
 
+from .price import table
 from .run import HEADER, Plan, Result, play
 
 EXAMPLES = """examples:
   python -m linnetstile.soak run --seeds 1-50 --seconds 25 --beside 3
   python -m linnetstile.soak replay 17 --keep found
+  python -m linnetstile.soak price --seconds 20
 """
 
 
@@ -69,6 +71,8 @@
     run.add_argument("--beside", type=int, default=1, help="so many at a time")
     replay = commands.add_parser("replay", help="plays one seed again")
     replay.add_argument("seed", type=int)
+    price = commands.add_parser("price", help="what the rest of kept connections costs")
+    price.add_argument("--seconds", type=float, default=20.0, help="of each load")
     for command in (run, replay):
         command.add_argument("--seconds", type=float, default=25.0, help="of trouble, in each")
         command.add_argument("--per-s", type=float, default=12.0, help="messages handed in at each relay")
@@ -79,6 +83,9 @@
 
 def main() -> int:
     asked = parser().parse_args()
+    if asked.command == "price":
+        asyncio.run(table(asked.seconds))
+        return 0
     seeds = asked.seeds if asked.command == "run" else [asked.seed]
     beside = asked.beside if asked.command == "run" else 1
     plans = [Plan(seed, asked.seconds, asked.per_s, asked.relays) for seed in seeds]
--- a/linnetstile/soak/extra_bytes.py
+++ b/linnetstile/soak/extra_bytes.py
@@ -17,6 +17,7 @@
     HALF_HEAD = "half a head"
 
 
+DRAWN = [Kind.COPY] * 3 + list(Kind)
 OTHER_ANSWERS = tuple(b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status for status in (500, 503))
 NOISE_BYTES = 1, 64
 
@@ -44,4 +45,4 @@
 def drawn(answer: bytes, rng: random.Random) -> Extra:
     """Any kind, in the same write, right after it, or up to `LONGEST_GAP_S` later."""
     after_s = rng.choice([None, 0.0, rng.uniform(0.0, LONGEST_GAP_S)])
-    return extra_of(rng.choice(list(Kind)), answer, after_s, rng)
+    return extra_of(rng.choice(DRAWN), answer, after_s, rng)
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from linnetstile import connection_reuse
 from linnetstile.interface import Outcome
 from linnetstile.net import egress as egress_module
 from linnetstile.net.egress import UNSENT, Answer, Call, Egress
@@ -254,6 +255,7 @@
     monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(egress_module, "HOLD_S", 1.0)
+    monkeypatch.setattr(connection_reuse, "REST_S", 0.0)  # each call finds a connection that has rested
 
     async def work() -> None:
         server, calls = Brittle(None), egress()
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -8,13 +8,14 @@
 
 import pytest
 
+from linnetstile.connection_reuse import ReusePolicy
 from linnetstile.net import clock
 from linnetstile.net.egress import Call
 from linnetstile.net.host import Host
 from linnetstile.net.invariants import Rule
 from linnetstile.net.journal import Attempt, Entry
 
-from .loopback import Client, message, run
+from .loopback import Client, message, run, until
 from .test_clients import World
 
 
@@ -97,3 +98,17 @@
             connection.abort()
             assert host.invariants.breaches[Rule.ANSWERED] == host.invariants.broken == 1
     run(work())
+
+
+def test_an_answer_that_may_belong_to_an_earlier_request_is_counted(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(ReusePolicy, "hold_s", lambda *args: 0.0)  # connections do not rest
+
+    async def work() -> None:
+        async with World(tmp_path) as host, Client(host.ingress.port) as client:
+            for ident in ("first", "second"):
+                assert await client.ask(message(ident)) == 202
+                await until(lambda: host.journal.entries[ident].end == "delivered")  # noqa: B023
+            assert host.invariants.breaches[Rule.ANSWER_OF_REQUEST] == host.invariants.broken == 1
+    run(work())
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -8,12 +8,16 @@
 
 import pytest
 
+from linnetstile import connection_reuse
+from linnetstile.net import link as link_module
 from linnetstile.net import outcomes
 from linnetstile.net.agent import Agent as AgentLink
 from linnetstile.net.agent import AgentError, Silent
+from linnetstile.net.link import Link
 from linnetstile.net.outcomes import Notices
 
 from .loopback import Agent, answer, run, until
+from .memory_transport import Behaviour, MemoryTransport, Peer, polled
 from .virtual_time import run_virtual
 
 TOO_LATE_S = 0.32  # from the notice until its message counts as lost: 20 ms before its time, 300 ms after
@@ -89,6 +93,7 @@
 ) -> None:
     """On sockets: the first connection takes it and never answers, and is waited for as long as this runs."""
     monkeypatch.setattr(outcomes, "ANSWER_S", 600.0)
+    monkeypatch.setattr(connection_reuse, "REST_S", 0.0)  # the connection that has answered is ready at once
 
     async def work() -> None:
         agent, told = Agent(script=deque([None])), list[str]()
@@ -189,3 +194,63 @@
         platform.kept = kept
 
     return init
+
+
+def connect(peer: Peer, monkeypatch: pytest.MonkeyPatch) -> list[MemoryTransport]:
+    opened: list[MemoryTransport] = []
+
+    async def open_link(address: tuple[str, int], body_bytes: int) -> Link:
+        link = await peer.open(body_bytes)
+        assert isinstance(link.transport, MemoryTransport)
+        opened.append(link.transport)
+        return link
+
+    monkeypatch.setattr(link_module, "polled", polled)
+    monkeypatch.setattr(Link, "open", open_link)
+    return opened
+
+
+@pytest.mark.parametrize("ends", [False, True])
+def test_a_notice_is_told_again_where_its_answer_may_have_been_another_answers_copy(
+    monkeypatch: pytest.MonkeyPatch, ends: bool
+) -> None:
+    """Its connection brings bytes, or ends, right behind it. The first answer on one is beyond doubt."""
+    async def work() -> None:
+        peer = Peer(Behaviour(0.0, 0.0, (answer(204),), b"", 0.0))
+        opened = connect(peer, monkeypatch)
+        notices = Notices(AgentLink(("127.0.0.1", 1)), lambda idents: None)
+        task = asyncio.ensure_future(notices.run())
+        for ident in ("a", "b", "c"):
+            notices.add(ident, "failed")
+            await asyncio.sleep(1.0)
+            if ends:
+                opened[-1]._reset()
+            else:
+                opened[-1]._received(answer(204))
+            await asyncio.sleep(1.0)
+        notices.add("d", "failed")
+        await asyncio.sleep(1.0)
+        notices.add("e", "failed")
+        await asyncio.sleep(0.1)
+        opened[-1]._reset()
+        await asyncio.sleep(1.0)
+        idents = [body.split(b'"')[3].decode() for body in peer.whole]
+        assert idents == ["a", "b", "c", "d", "e", "e"]
+        task.cancel()
+    run_virtual(work())
+
+
+def test_a_notice_does_not_wait_until_a_connection_has_rested(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work() -> None:
+        peer = Peer(Behaviour(0.0, 0.0, (answer(204),), b"", 0.0))
+        opened = connect(peer, monkeypatch)
+        told: list[str] = []
+        notices = Notices(AgentLink(("127.0.0.1", 1)), told.extend)
+        task = asyncio.ensure_future(notices.run())
+        for number in range(2 * outcomes.WAYS):
+            notices.add(str(number), "failed")
+            await asyncio.sleep(0.0101)  # the peer takes 0.01 s
+            assert len(told) == number + 1
+        assert 1 < len(opened) < outcomes.WAYS, "those that have rested are used again"
+        task.cancel()
+    run_virtual(work())
