Believe an answer to several messages only if it names no others

What callers could see: none known; a copy of the answer to the call before was believed for the messages of this call that it also names. Cause: each line of the answer was looked up by its id, and lines about other messages were dropped. Change: an answer that names a message that was not in the call tells nothing of any; the outcome is unclear and the connection ends, since the true answer may yet come. Measured: the test failed before (delivered and refused were believed).

--- a/linnetstile/connection_reuse.py
+++ b/linnetstile/connection_reuse.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Collection, Hashable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -97,3 +97,8 @@
     """Whether what follows an answer (bytes, or the connection's end) may mean that the answer was none: not
     where it was the connection's first, since nothing can have come before that."""
     return answered > 1 and since_answer_s <= DOUBT_S
+
+
+def names_only(named: Collection[str], sent: Collection[str]) -> bool:
+    """Whether an answer to several messages is about these alone; else it answers another call."""
+    return set(named) <= set(sent)
--- a/linnetstile/net/egress.py
+++ b/linnetstile/net/egress.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field, replace
 from functools import partial
 
-from ..connection_reuse import ReusePolicy, UnsolicitedBytes
+from ..connection_reuse import ReusePolicy, UnsolicitedBytes, names_only
 from ..interface import Outcome
 from .backoff import Backoff
 from .config import Address
@@ -141,12 +141,14 @@
          "spent": Answer(Outcome.NOT_SENT)}
 
 
-def answers_of(head: Head, body: bytes) -> dict[str, Answer]:
-    """How each message of a call of several ended, by its id; a line that makes no sense tells of none."""
+def answers_of(head: Head, body: bytes, sent: list[str]) -> dict[str, Answer]:
+    """How each message of a call of several ended, by its id; a line that makes no sense tells of none, and
+    an answer about others belongs to another call."""
     wait = wait_of(head)
     lines = [line.split() for line in body.decode("latin-1").splitlines()]
-    return {line[0]: replace(FATES[line[1]], wait_ms=wait) for line in lines
+    told = {line[0]: replace(FATES[line[1]], wait_ms=wait) for line in lines
             if len(line) == 2 and line[1] in FATES}
+    return told if names_only(told, sent) else {}
 
 
 def line_of(trace_id: str, key: str | None, body: bytes) -> bytes:
@@ -222,7 +224,8 @@
                     # then only the whole answer tells.
                     answer = Answer(Outcome.OK, over=True)
                     if len(trip.sent) > 1:
-                        answer, each = Answer(Outcome.ERROR), answers_of(await link.head, await link.whole)
+                        answer, each = Answer(Outcome.ERROR), answers_of(
+                            await link.head, await link.whole, [call.trace_id for call in trip.sent])
                 else:
                     one = len(trip.sent) == 1
                     answer = answer_of(await link.head) if one else answer_of_all(await link.head)
@@ -232,7 +235,8 @@
                     each = {ident: replace(one, report=report) for ident, one in each.items()}
                 if answer.outcome is not Outcome.OK:
                     await self._to_its_end(link, answer.outcome.proves_no_effect)
-            if call.keep and (answer.outcome is Outcome.OK or link.whole.done()):
+            unread = len(trip.sent) > 1 and link.code == 200 and not each  # the true answer may yet come
+            if call.keep and not unread and (answer.outcome is Outcome.OK or link.whole.done()):
                 trip.free = False
                 self._after_body(key, link)
             return answer, each
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -455,3 +455,16 @@
         await until(server.left)
         assert not any(calls.idle.values()) and server.opened == 1
     run(work())
+
+
+def test_an_answer_about_other_messages_tells_nothing_of_these_and_ends_its_connection() -> None:
+    """A copy of the answer to the call before would."""
+    async def work() -> None:
+        server, calls = await Server().start(), egress()
+        group = [replace(call(server.address), trace_id=ident) for ident in ("a", "b")]
+        server.usual = answer(200, body="c delivered\r\na delivered\r\nb refused\r\n")
+        assert [got.outcome for got in await calls.together(group)] == [Outcome.ERROR, Outcome.ERROR]
+        await until(server.left)
+        server.usual = answer(200, body="a delivered\r\nb refused\r\n")
+        assert [got.outcome for got in await calls.together(group)] == [Outcome.OK, Outcome.FULL]
+    run(work())
