Hand over waiting outcomes before a message counts as left behind

Cause: the process was held up past the message's time, so the end of its call and the watchdog's look came in one go; the outcome still waited for its turn, a tick away, and the look took the message for forgotten. The trace: +0 accepted, +1 call, +857 timeout, left_behind, +858 returned. Change: the look hands over what waits before it asks who is still held. Measured: the test forces the crossing (the process stands still past the time); it failed before, passes now, and the planted faults of test_liveness are still found.

--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -461,6 +461,8 @@
 
     def _look_at(self, number: int, entry: Entry) -> None:
         """Soon after its time: whether a message was left behind. Then it ends now, and tells its history."""
+        if self.events:  # its outcome may be among them: this process may have been held up
+            self._step()
         held = self.held.get(number)
         if held is not None:
             self.invariants.check(Rule.LEFT_BEHIND, False, f"{entry.id}: {held.history.text(entry.since)}")
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -11,7 +11,8 @@
 import pytest
 
 from linnetstile import interface as api
-from linnetstile.net import journal
+from linnetstile.liveness import OVERDUE_MS
+from linnetstile.net import clock, journal
 from linnetstile.net.host import Host
 from linnetstile.net.journal import Journal
 
@@ -147,3 +148,25 @@
         breaches: dict[Any, int] = dict(host.invariants.breaches)
         assert breaches.get("left_behind") == 1
     run(with_host(tmp_path, work))
+
+
+def test_a_message_whose_outcome_waits_for_its_turn_is_not_left_behind(tmp_path: Path) -> None:
+    """The process was held up past its time: the end of its call and the look at it come in one go."""
+    async def work(host: Host, agent: Agent, server: Server) -> None:
+        server.usual = None
+        async with Client(host.ingress.port) as client:
+            assert await client.ask(message("m", "safe", left=LEFT_MS)) == 202
+        (number,) = host.held
+        entry = host.held[number].entry
+        ended = host._ended
+
+        def late(*args: Any) -> None:
+            time.sleep(max(0.0, entry.due + OVERDUE_MS - clock.now_ms()) / 1000)
+            host.last_turn = host.now()  # the next turn is a tick away
+            ended(*args)
+            host._look_at(number, entry)
+
+        host._ended = late  # type: ignore[method-assign, assignment]
+        assert (await agent.notices.get())["id"] == "m"
+        assert not host.invariants.broken
+    run(with_host(tmp_path, work))
