--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -12,7 +12,7 @@
 
 from .. import interface as api
 from .. import liveness
-from ..connection_reuse import Peer, UnsolicitedBytes
+from ..connection_reuse import Peer
 from ..control import Relay
 from . import clock
 from .agent import Agent
@@ -26,13 +26,13 @@
 from .intake import Intake, Malformed
 from .invariants import LATE_MS, Invariants, Rule
 from .journal import Entry, Journal, JournalError
-from .link import Link
 from .management import SOCKETS as DOOR_SOCKETS
 from .management import Answer as Told
 from .management import Call as Ask
 from .management import Door
 from .outcomes import Notices
 from .replacement import Replacement
+from .runtime_checks import RuntimeChecks
 from .starting import once_possible
 from .tasks import Tasks
 from .watchdog import Watchdog
@@ -91,11 +91,12 @@
         self.configured = names_of(config.known)  # what the next process begins with, as far as is known
         self.intake = Intake(config.settings, self.classes, self.tenants, self._knows_destination)
         self.dests: dict[int, float] = {}  # destinations that are known though none is listed: until when
-        self.egress = Egress(config.settings.idle_ms, config.settings.connect_timeout_ms, 1, 1,
-                             config.settings.report_fields, self._written)
-        self.egress.on_unsolicited = partial(self._count_unsolicited, Peer.ENDPOINT)
-        self.egress.on_answer = partial(self._check_answer, Peer.ENDPOINT)
         self.figures = Figures(self.classes, self.invariants)
+        self.checks = RuntimeChecks(config.settings, self.journal, self.directory, self.figures)
+        self.egress = Egress(config.settings.idle_ms, config.settings.connect_timeout_ms, 1, 1,
+                             config.settings.report_fields, self.checks.call_written)
+        self.egress.on_unsolicited = partial(self.checks.unsolicited, Peer.ENDPOINT)
+        self.egress.on_answer = partial(self.checks.answer, Peer.ENDPOINT)
         self.untold: dict[str, Entry] = {}  # ended, but not on file yet: told by their time at the latest
         self.found: set[str] = set()  # ids that an earlier process left: their time may be over
         self.draining = False  # clients are sent away until a resume
@@ -115,7 +116,6 @@
         self.talks: list[asyncio.Task[None]] = []  # with the agent: the watch and the notices
         self.closed = False
         self.held: dict[int, Held] = {}
-        self.sent: set[str] = set()  # ids of the messages whose calls are out whole
         self.leaving: set[str] = set()  # withdrawn while a call was out, which still is
         self.numbers: dict[str, int] = {}
         self.repeated: set[str] = set()  # of these, brought once more under their own id, and answered
@@ -134,19 +134,10 @@
     def _agent(self, peer: Peer) -> Agent:
         """A connection to the platform at the address that is configured now."""
         agent = Agent(self.config.discovery)
-        agent.on_unsolicited = partial(self._count_unsolicited, peer, agent.address)
-        agent.on_answer = partial(self._check_answer, peer, agent.address)
+        agent.on_unsolicited = partial(self.checks.unsolicited, peer, agent.address)
+        agent.on_answer = partial(self.checks.answer, peer, agent.address)
         return agent
 
-    def _check_answer(self, peer: Peer, address: Address, link: Link) -> None:
-        what = f"{peer} {address[0]}:{address[1]}, {1000 * link.rested_to_end:.1f} ms after an answer"
-        self.invariants.check(Rule.ANSWER_OF_REQUEST, link.attributable, what)
-
-    def _count_unsolicited(self, peer: Peer, address: Address, found: UnsolicitedBytes) -> None:
-        self.figures.unsolicited[peer, found.position] += 1
-        traffic.info("unsolicited: %d bytes from %s %s:%d, %s, %.1f ms after answer %d",
-                     found.size, peer, *address, found.position, 1000 * found.since_answer_s, found.answered)
-
     # -- life --------------------------------------------------------------------------------------------
 
     async def start(self) -> None:
@@ -281,29 +272,6 @@
                 log.exception("the pool's figures could not be read")
             await asyncio.sleep(LOOK_AT_POOL_S)
 
-    def _written(self, calls: list[Call]) -> None:
-        for call in calls:
-            self.figures.tried(call.class_)
-            entry = self.journal.entries.get(call.trace_id)
-            if entry is not None:
-                self._check_sent(call, entry)
-
-    def _check_sent(self, call: Call, entry: Entry) -> None:
-        """Right after the last byte of a call for this message has left."""
-        check, what, now = self.invariants.check, f"{entry.id} to {call.endpoint}", clock.now_ms()
-        check(Rule.SENT_WHILE_OPEN, not entry.end, what)
-        check(Rule.SENT_ON_FILE, entry.out is not None, what)
-        known = self.directory.by_number.get(call.endpoint)
-        check(Rule.SENT_TO_READY, known is not None and known.entry.listing is api.Listing.READY, what)
-        check(Rule.ONE_ATTEMPT, entry.id not in self.sent, what)
-        self.sent.add(entry.id)
-        until = entry.due
-        kind = self.settings.classes[self.classes[entry.class_]]
-        if entry.risk is not None and kind.effect is api.Effect.KEYED:
-            until = min(until, entry.risk.at + kind.key_window_ms)
-        check(Rule.SENT_IN_TIME, now < until, f"{what}, {now - until:.0f} ms")
-        check(Rule.ONE_ATTEMPT, entry.risk is None or kind.effect is not api.Effect.UNSAFE, what)
-
     # -- the start -------------------------------------------------------------------------------------
 
     def _resume(self) -> None:
@@ -731,7 +699,7 @@
                took: float) -> None:
         entry, held.call = held.entry, None
         self.leaving.discard(entry.id)
-        self.sent.discard(entry.id)
+        self.checks.call_ended(entry)
         held.history.add(answer.outcome.value, answer.on)
         told = " ".join(f"{value:.2f}" for value in answer.report)
         traffic.log(level_of(answer.outcome is api.Outcome.OK),
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -52,11 +52,11 @@
 ) -> None:
     async def work() -> None:
         async with World(tmp_path) as host:
-            host._check_sent(call(host), entry(host, class_))
+            host.checks.message_sent(call(host), entry(host, class_))
             assert not host.invariants.broken
-            host.sent.clear()
+            host.checks.sent.clear()
             host.journal._forget("m")
-            host._check_sent(call(host), entry(host, class_, **more))
+            host.checks.message_sent(call(host), entry(host, class_, **more))
             assert host.invariants.breaches[rule] == 1 and sum(host.invariants.breaches.values()) == 1
     run(work())
 
@@ -65,12 +65,12 @@
     async def work() -> None:
         async with World(tmp_path) as host:
             made, out = entry(host), call(host)
-            host._check_sent(out, made)
-            host._check_sent(out, made)
+            host.checks.message_sent(out, made)
+            host.checks.message_sent(out, made)
             assert host.invariants.breaches[Rule.ONE_ATTEMPT] == host.invariants.broken == 1
             host.directory.by_number.clear()
-            host.sent.clear()
-            host._check_sent(out, made)
+            host.checks.sent.clear()
+            host.checks.message_sent(out, made)
             assert host.invariants.breaches[Rule.SENT_TO_READY] == 1
     run(work())
 
