Soak with paths that take time, extra bytes, bursts, and kills on a failing folder

A told wait runs from when its answer is written, and a call that was given up on its way is over. The judge: a delivery that the folder refused to take down before a kill may be unknown afterwards.

--- a/linnetstile/soak/client.py
+++ b/linnetstile/soak/client.py
@@ -35,9 +35,11 @@
 class Connection:
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    path_s: float
 
     async def ask(self, data: bytes) -> tuple[int, bool]:
         """Status, and whether the connection stays. Closed, or OSError."""
+        await asyncio.sleep(self.path_s)
         self.writer.write(data)
         try:
             head = (await self.reader.readuntil(b"\r\n\r\n")).lower()
@@ -45,6 +47,7 @@
             await self.reader.readexactly(length)
         except asyncio.IncompleteReadError as error:
             raise Closed from error
+        await asyncio.sleep(self.path_s)
         return int(head.split()[1]), b"connection: close" not in head
 
 
@@ -61,6 +64,7 @@
     was_killed: Callable[[float], bool]  # whether the relay's process was killed, or down, since that time
     idle: list[Connection] = field(default_factory=list)
     number: int = 0
+    path_s: float = 0.0  # one way, between them and the relay
 
     async def run(self, until: float, per_s: float) -> None:
         async with asyncio.TaskGroup() as tasks:
@@ -81,15 +85,22 @@
         for writer in opened:
             writer.close()
 
+    async def burst(self, count: int) -> None:
+        """So many messages for one destination at once."""
+        destination = self.rng.choice(self.destinations)
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(count):
+                tasks.create_task(self._message(destination))
+
     def close(self) -> None:
         for connection in self.idle:
             connection.writer.close()
         self.idle.clear()
 
-    async def _message(self) -> None:
+    async def _message(self, destination: int | None = None) -> None:
         self.number += 1
-        name, class_ = f"r{self.relay}-{self.number}", self.rng.choice(self.classes)
-        destination, again = self.rng.choice(self.destinations), Again.NO
+        name, class_, again = f"r{self.relay}-{self.number}", self.rng.choice(self.classes), Again.NO
+        destination = self.rng.choice(self.destinations) if destination is None else destination
         due = time.monotonic() + self.rng.choice(LEFT_MS) / 1000
         for turn in range(1 + MOST_AGAIN):
             left_ms = int((due - time.monotonic()) * 1000)
@@ -116,6 +127,9 @@
             headers.append(f"X-Second-Try: {again.value}")
         return "\r\n".join([f"POST /{hand_in.class_} HTTP/1.1", *headers, "", ""]).encode() + body
 
+    async def _connect(self) -> Connection:
+        return Connection(*await asyncio.open_connection(*self.address), self.path_s)
+
     async def _hand_in(self, hand_in: HandIn, data: bytes) -> int | None:
         """The answer's status; None: none came in time."""
         began = time.monotonic()
@@ -124,7 +138,7 @@
         try:
             async with asyncio.timeout(PATIENCE_S):
                 while True:
-                    connection = connection or Connection(*await asyncio.open_connection(*self.address))
+                    connection = connection or await self._connect()
                     try:
                         status, stays = await connection.ask(data)
                         break
--- a/linnetstile/soak/endpoint.py
+++ b/linnetstile/soak/endpoint.py
@@ -35,7 +35,9 @@
 SLOW_S = 0.2, 2.0
 HANG_S = 60.0, 60.0
 LOOK_S = 0.005  # between two looks whether a call is given up
+FAILS_BEHIND_EXTRAS = 0.5
 WAIT_MS = 100, 600
+WAIT_HEADER = "X-RateLimit-Wait-Ms"
 
 
 @dataclass
@@ -51,7 +53,7 @@
     async def reply(self, request: Request) -> Response | None:
         idents = [ident for ident, _ in messages_of(request)]
         attempts = [self._arrived(ident, request) for ident in idents]
-        manner = self.rng.choice(MOODS[self.mood])
+        manner = self._manner(request)
         try:
             span = {Manner.SLOW: SLOW_S, Manner.HANGS: HANG_S}.get(manner, ANSWER_S)
             await self._work(request, self.rng.uniform(*span))
@@ -60,10 +62,17 @@
             return self._response(manner, idents, attempts)
         finally:
             for attempt in attempts:
-                attempt.over_at = time.monotonic()
+                attempt.over_at = attempt.over_at or time.monotonic()
+
+    def _manner(self, request: Request) -> Manner:
+        """Right behind extra bytes calls often fail: if those were taken for the answer, it shows."""
+        behind_extras = request.connection.brought_extras and self.rng.random() < FAILS_BEHIND_EXTRAS
+        return self.rng.choice(MOODS["failing" if behind_extras else self.mood])
 
     def _arrived(self, ident: str, request: Request) -> Attempt:
         attempt = Attempt(self.name, request.begun_at, request.whole_at)
+        if request.connection.ended:  # given up while it was on its way
+            attempt.over_at = request.whole_at
         self.ledger.attempts.setdefault(ident, []).append(attempt)
         return attempt
 
@@ -80,7 +89,8 @@
             case Manner.FULL:
                 return Response(503)
             case Manner.TELLS_WAIT:
-                return self._tells_wait(idents[0])
+                wait_ms = self.rng.randrange(*WAIT_MS)
+                return Response(429, ((WAIT_HEADER, str(wait_ms)),))
             case Manner.ERROR:
                 return Response(500)
             case Manner.RESET | Manner.HANGS:
@@ -97,13 +107,15 @@
             return Response(whole.status, whole.headers, whole.body, self.rng.randrange(most))
         return whole
 
-    def _tells_wait(self, ident: str) -> Response:
-        wait_ms, now = self.rng.randrange(*WAIT_MS), time.monotonic()
+    def _told_wait(self, ident: str, wait_ms: int) -> None:
+        now = time.monotonic()
         if (hand_in := self.ledger.hand_ins.get(ident)) is not None:
             self.ledger.waits.append(Wait(hand_in.relay, self.destination, now, now + wait_ms / 1000))
-        return Response(429, (("X-RateLimit-Wait-Ms", str(wait_ms)),))
 
     def written(self, request: Request, response: Response) -> None:
+        for name, value in response.headers:
+            if name == WAIT_HEADER:
+                self._told_wait(next(messages_of(request))[0], int(value))
         if response.status != 200:
             return
         now = time.monotonic()
--- a/linnetstile/soak/ledger.py
+++ b/linnetstile/soak/ledger.py
@@ -43,6 +43,7 @@
     begun_at: float
     killed_at: float
     ready_at: float = float("inf")
+    refusing_since: float = float("inf")  # the folder took no records from then until the kill
 
 
 @dataclass(slots=True)
--- a/linnetstile/soak/platform.py
+++ b/linnetstile/soak/platform.py
@@ -18,6 +18,7 @@
 MOVED_S = 4.0  # after SIGHUP the news counts as told (TERMS, "Reconfiguration")
 OLD_ENDS_S = 1.5  # so long the replaced address keeps its connections
 LOOK_S = 0.005
+CUT_BEHIND_EXTRAS = 0.5  # of the notices
 ANSWER_S = 0.0, 0.06  # of a notice, as over a wide network: several are out at once, over several connections
 
 
@@ -56,12 +57,19 @@
     listing: Listing = field(default_factory=Listing)
     ledger: Ledger = field(default_factory=Ledger)
     rng: random.Random = field(default_factory=random.Random)
+    lists: asyncio.Event = field(default_factory=asyncio.Event)  # answered while it is set
     replaced_at: float = float("inf")  # from then on notices here count for nothing
 
+    def __post_init__(self) -> None:
+        self.lists.set()
+
     async def reply(self, request: Request) -> Response | None:
         if request.target.startswith("/v1/servers"):
+            await self.lists.wait()
             return await self._list(request)
         await asyncio.sleep(self.rng.uniform(*ANSWER_S))
+        if request.connection.brought_extras and self.rng.random() < CUT_BEHIND_EXTRAS:
+            return None  # unread: if the extra bytes were taken for its answer, it shows
         for line in request.body.splitlines():
             notice = json.loads(line)
             if time.monotonic() < self.replaced_at:
--- a/linnetstile/soak/relay.py
+++ b/linnetstile/soak/relay.py
@@ -101,9 +101,11 @@
         return self.up_since > since or any(restart.begun_at >= since or since < restart.ready_at
                                             for restart in self.ledger.restarts[self.number])
 
-    async def restart(self, how: signal.Signals, again_after_s: list[float]) -> None:
+    async def restart(
+        self, how: signal.Signals, again_after_s: list[float], refusing_since: float = float("inf")
+    ) -> None:
         """Ends it, and starts it anew; then killed so long after each start, and started once more."""
-        restart = Restart(time.monotonic(), 0.0)
+        restart = Restart(time.monotonic(), 0.0, refusing_since=refusing_since)
         self.ledger.restarts[self.number].append(restart)
         self.up_since = float("inf")
         await self._end(how)
--- a/linnetstile/soak/run.py
+++ b/linnetstile/soak/run.py
@@ -15,8 +15,9 @@
 from .ledger import Ledger
 from .platform import Listing, Platform
 from .relay import RelayProcess
+from .stand_in import StandIn
 from .trouble import Troubles
-from .world import CLASSES, UNSAFE, WINDOW_MS, World, drawn
+from .world import CLASSES, UNSAFE, WINDOW_MS, Paths, World, drawn
 
 QUIET_S = 1.0  # from when all relays are ready until troubles begin
 LOG_SIGNS = ("invariant broken", "Traceback", "records are lost")
@@ -63,6 +64,13 @@
 
     def __post_init__(self) -> None:
         self.addresses = Addresses(self.plan.seed)
+        self.paths = Paths.of(self.plan.seed)
+
+    def place(self, stand_in: StandIn) -> None:
+        """At the end of a path of its own."""
+        stand_in.path_s = self.paths.one_way_s()
+        stand_in.extras_share = self.paths.extras_share
+        stand_in.extras_rng = random.Random(self.paths.rng.random())
 
     async def play(self) -> Result:
         rng = random.Random(self.plan.seed)
@@ -92,18 +100,21 @@
         self.numbers += 1
         endpoint = Endpoint(self.addresses.next(), name=f"s-{self.numbers}", destination=destination,
                             kind=kind, ledger=self.ledger, rng=random.Random(rng.random()))
+        self.place(endpoint)
         await endpoint.listen()
         return endpoint
 
     async def _play(self, world: World, listing: Listing, rng: random.Random) -> None:
         for number in range(world.relays):
             platform = Platform(self.addresses.next(), relay=number, listing=listing, ledger=self.ledger)
+            self.place(platform)
             await platform.listen()
             self.relays.append(RelayProcess(number, self.folder / f"n{number}", world.settings(), platform,
                                             self.ledger, self.addresses.next()))
         await asyncio.gather(*(relay.start() for relay in self.relays))
         clients = [Clients(relay.number, relay.address, list(range(len(world.destinations))), CLASSES,
-                           self.ledger, random.Random(rng.random()), relay.was_killed)
+                           self.ledger, random.Random(rng.random()), relay.was_killed,
+                           path_s=self.paths.one_way_s())
                    for relay in self.relays]
         until = time.monotonic() + QUIET_S + self.plan.seconds
 
@@ -111,7 +122,7 @@
             return await self._endpoint(old.destination, old.kind, rng)
 
         troubles = Troubles(random.Random(rng.random()), self.relays, clients, self.endpoints, listing,
-                            self.ledger, self.addresses, another)
+                            self.ledger, self.addresses, another, self.place)
         async with asyncio.TaskGroup() as tasks:
             for each in clients:
                 tasks.create_task(each.run(until, self.plan.per_s))
--- a/linnetstile/soak/stand_in.py
+++ b/linnetstile/soak/stand_in.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from dataclasses import dataclass, field
 
 import h11
 
-from .extra_bytes import Extra
+from .extra_bytes import Extra, drawn
 
 READ_BYTES = 65536
+GOOD = (200, 204)
 STALL_S = 0.002  # extras that this process could not write in time are left out: their gap would be longer
 
 
@@ -46,6 +48,7 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     silent: bool = False  # nothing is read from it or written to it any more
+    brought_extras: bool = False  # behind the last answer
     request_begun_at: float | None = None  # the first byte of the request that is being read or answered
     extras: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -70,6 +73,8 @@
     silent: bool = False  # also to connections that are begun now
     server: asyncio.Server | None = None
     path_s: float = 0.0
+    extras_share: float = 0.0  # of its good answers that bring extra bytes
+    extras_rng: random.Random = field(default_factory=random.Random)
 
     async def listen(self) -> None:
         """Serves at its address; also again after `refuse`."""
@@ -106,6 +111,9 @@
 
     def extra(self, request: Request, response: Response) -> Extra | None:
         """What it sends beyond this answer, while nothing else waits on the connection."""
+        good = response.status in GOOD and response.cut_at is None
+        if good and self.extras_rng.random() < self.extras_share:
+            return drawn(response.encoded(), self.extras_rng)
         return None
 
     def written(self, request: Request, response: Response) -> None:
@@ -142,6 +150,7 @@
             connection.writer.close()
             return
         extra = self.extra(request, response)
+        connection.brought_extras = extra is not None
         if extra is not None and extra.after_s is None:
             data += extra.data
         connection.writer.write(data)
--- a/linnetstile/soak/trouble.py
+++ b/linnetstile/soak/trouble.py
@@ -25,14 +25,15 @@
 SERIES_S = 0.02, 1.5  # from a start to the next kill
 HUP_TO_KILL_S = 0.02, 0.5
 CROWD = 120
+BURST, BURSTS_WEIGHT = (20, 80), 12
 FILE_FAULTS = [("write", "ENOSPC"), ("write", "EIO"), ("write", "half"), ("write", "torn"), ("rename", "EIO"),
                ("open", "EIO")]
 CALL_FAULTS = [("accept", "ENFILE"), ("accept", "ECONNABORTED"), ("socket", "EMFILE"),
                ("connect", "EADDRNOTAVAIL"), ("connect", "ENETUNREACH"), ("setsockopt", "EINVAL"),
-               ("short_send", "EAGAIN")]
-# A message whose record the folder has refused cannot outlive its process: DEPLOY promises a folder that can
-# be written. So no kill falls into a spell in which it cannot, nor before the next look at what waits.
-FOLDER_SETTLES_S = 0.3
+               ("short_send", "EAGAIN"), ("send", "ENOBUFS")]
+REFUSES_BEFORE_KILL_S, REFUSES_AFTER_KILL_S = (0.05, 0.5), (0.0, 1.5)
+SILENT_DISCOVERY_S = 0.8, 2.0
+FOLDER_SETTLES_S = 0.3  # until records that were refused are written
 
 
 @dataclass
@@ -45,15 +46,17 @@
     ledger: Ledger
     addresses: Addresses
     new_endpoint: Callable[[Endpoint], Awaitable[Endpoint]]
+    place: Callable[[Platform], None]  # at the end of a path
     folder_fails: bool = True
 
     async def run(self, until: float) -> None:
         kinds = [self.kills, self.kills, self.term, self.moved_and_killed, self.moved_and_killed,
                  self.refused_destination, self.cut_endpoint, self.mood, self.mood, self.replaced_endpoint,
                  self.replaced_endpoint, self.silent_platform, self.silent_platform, self.reset_platform,
-                 self.clock, self.failing_calls, self.crowd]
+                 self.start_with_a_silent_discovery, self.clock, self.failing_calls, self.crowd,
+                 *[self.burst] * BURSTS_WEIGHT]
         if self.folder_fails:
-            kinds += [self.failing_folder, self.start_on_a_failing_folder]
+            kinds += [self.failing_folder, self.start_on_a_failing_folder, self.kill_on_a_failing_folder]
         async with asyncio.TaskGroup() as tasks:
             while time.monotonic() < until:
                 await asyncio.sleep(self.rng.uniform(*PAUSE_S))
@@ -85,6 +88,7 @@
         async with relay.busy:
             successor = Platform(self.addresses.next(), relay=relay.number, listing=self.listing,
                                  ledger=self.ledger)
+            self.place(successor)
             await successor.listen()
             old = relay.platform
             await relay.move_discovery(successor)
@@ -115,6 +119,30 @@
             await restarted
             await asyncio.sleep(FOLDER_SETTLES_S)
 
+    async def kill_on_a_failing_folder(self) -> None:
+        """Killed while the folder refuses records; it heals before the next start, or a little after it."""
+        relay = self._relay()
+        async with relay.busy:
+            refusing_since = time.monotonic()
+            relay.set_failing(write=[self.rng.choice(["ENOSPC", "EIO", "torn"]), 1])
+            await asyncio.sleep(self.rng.uniform(*REFUSES_BEFORE_KILL_S))
+            restarted = asyncio.create_task(relay.restart(signal.SIGKILL, [], refusing_since))
+            await asyncio.sleep(self.rng.uniform(*REFUSES_AFTER_KILL_S))
+            relay.set_failing(write=None)
+            await restarted
+            await asyncio.sleep(FOLDER_SETTLES_S)
+
+    async def start_with_a_silent_discovery(self) -> None:
+        """It accepts calls for lists and answers none for a while; notices it answers."""
+        relay = self._relay()
+        async with relay.busy:
+            platform = relay.platform
+            platform.lists.clear()
+            restarted = asyncio.create_task(relay.restart(signal.SIGKILL, []))
+            await asyncio.sleep(self.rng.uniform(*SILENT_DISCOVERY_S))
+            platform.lists.set()
+            await restarted
+
     async def failing_calls(self) -> None:
         await self._fail(self._relay(), self.rng.choice(CALL_FAULTS), [1, 2, 3], self.rng.uniform(0.1, 0.5))
 
@@ -129,6 +157,9 @@
     async def crowd(self) -> None:
         await self.rng.choice(self.clients).crowd(CROWD, self.rng.uniform(1.0, 4.0))
 
+    async def burst(self) -> None:
+        await self.rng.choice(self.clients).burst(self.rng.randint(*BURST))
+
     # -- platform ----------------------------------------------------------------------------------------
 
     async def silent_platform(self) -> None:
--- a/linnetstile/soak/world.py
+++ b/linnetstile/soak/world.py
@@ -11,6 +11,8 @@
 UNSAFE = "unsafe"
 BULK = 10  # messages in one call to an endpoint of that kind
 RELAYS, DESTINATIONS, ENDPOINTS = (3, 6), (2, 12), (1, 3)
+LONGEST_PATH_S = 0.11  # one way
+EXTRAS_SHARES = [0.0, 0.3, 0.5, 0.5]  # of good answers that bring extra bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +42,24 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class Paths:
+    """How far apart the parties are, and how often good answers bring extra bytes; apart from the rest of the
+    world, so that a seed's other draws stay what they were."""
+
+    rng: random.Random
+    extras_share: float
+
+    @classmethod
+    def of(cls, seed: int) -> Paths:
+        rng = random.Random(f"paths of {seed}")
+        return cls(rng, rng.choice(EXTRAS_SHARES))
+
+    def one_way_s(self) -> float:
+        """Of one more path: some are short."""
+        return self.rng.choice([0.0, self.rng.uniform(0.0, 0.02), self.rng.uniform(0.0, LONGEST_PATH_S)])
+
+
 def drawn(rng: random.Random) -> World:
     return World(
         rng.randint(*RELAYS),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -113,6 +113,15 @@
     assert Judge(made, {}, "unsafe").breaches() == []
 
 
+def test_a_delivery_that_the_folder_refused_before_a_kill_may_be_unknown_afterwards() -> None:
+    made = ledger("unsafe")
+    told_as_failed(made)
+    made.restarts[0] = [Restart(101.5, 101.5, ready_at=102.0)]
+    assert [each.rule for each in Judge(made, {}, "unsafe").breaches()] == ["lost"]
+    made.restarts[0][0].refusing_since = 101.0
+    assert Judge(made, {}, "unsafe").breaches() == []
+
+
 def test_the_messages_of_a_call_of_several_are_read_by_their_lengths() -> None:
     body = b"a - 5\r\nx\r\nyz\r\nb key 0\r\n\r\n"
     connection: Connection = None  # type: ignore[assignment]
