Let a notice take the connection that may carry it soonest

Change: the reuse policy knows how long the last connection took; a notice takes the free connection with the shortest wait, and of those the one that answered last.

--- a/linnetstile/connection_reuse.py
+++ b/linnetstile/connection_reuse.py
@@ -61,6 +61,7 @@
 
     def __init__(self) -> None:
         self._long_rests: dict[Hashable, _LongRest] = {}
+        self._connect_s: dict[Hashable, float] = {}
 
     def observe(self, peer: Hashable, now_s: float, found: UnsolicitedBytes) -> None:
         """A peer whose extra bytes come late rests for longer than the gap that was seen."""
@@ -74,6 +75,16 @@
         if len(self._long_rests) > MOST_PEERS:
             del self._long_rests[next(iter(self._long_rests))]
 
+    def connected(self, peer: Hashable, took_s: float) -> None:
+        """A new connection to that peer took so long."""
+        self._connect_s[peer] = took_s
+
+    def wait_s(self, peer: Hashable, now_s: float, answered_at_s: float | None) -> float:
+        """How long until a request may be whole, on the connection that was answered then, or else on a new
+        one: as long as the last one took."""
+        hold_s = None if answered_at_s is None else self.hold_s(peer, now_s, answered_at_s)
+        return self._connect_s.get(peer, 0.0) if hold_s is None else hold_s
+
     def rest_s(self, peer: Hashable, now_s: float) -> float:
         """How long after an answer the last byte of the next request may leave, in seconds."""
         rest = self._long_rests.get(peer)
--- a/linnetstile/net/agent.py
+++ b/linnetstile/net/agent.py
@@ -31,9 +31,11 @@
         self.in_doubt = False
 
     @property
-    def ready(self) -> bool:
-        """Whether a request would go out at once: on a connection that has rested, or on a new one."""
-        return self.link is None or not self.link.usable or self._hold_s(self.link) == 0.0
+    def wait_s(self) -> float:
+        """How long a request would wait before its last byte may leave."""
+        link = self.link
+        answered_at_s = link.idle_since if link is not None and link.usable else None
+        return self.reuse.wait_s(self.address, asyncio.get_running_loop().time(), answered_at_s)
 
     async def ask(self, method: str, target: str, body: bytes, seconds: float) -> tuple[int, bytes]:
         """Safe to repeat at will: the agent takes each of its requests any number of times."""
@@ -60,7 +62,9 @@
                 if kept.out:
                     raise
                 kept.close()
+        began = asyncio.get_running_loop().time()
         self.link = link = await Link.open(self.address, ANSWER_BYTES)
+        self.reuse.connected(self.address, asyncio.get_running_loop().time() - began)
         self.in_doubt = False
         link.on_answer = self.on_answer
         link.on_unsolicited = self._unsolicited
--- a/linnetstile/net/outcomes.py
+++ b/linnetstile/net/outcomes.py
@@ -144,13 +144,13 @@
         return due
 
     def _way(self, again: bool) -> Agent:
-        """A connection that is free: the one that answered last, of those that are ready, else the one that
-        has rested longest. For what goes out again it is a new one, and none that was kept is used any more:
-        connections to one place fall silent together."""
+        """A connection that is free: the soonest that may carry it, and of those the one that answered last.
+        For what goes out again it is a new one, and none that was kept is used any more: connections to one
+        place fall silent together."""
         if again:
             for way in self.free:
                 way.close()
-        way = next((way for way in self.free if way.ready), self.free[-1])
+        way = min(self.free, key=lambda way: way.wait_s)
         self.free.remove(way)
         return way
 
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -254,3 +254,22 @@
         assert 1 < len(opened) < outcomes.WAYS, "those that have rested are used again"
         task.cancel()
     run_virtual(work())
+
+
+def test_a_notice_waits_for_a_rest_that_is_shorter_than_a_new_connection_takes(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def work() -> None:
+        peer = Peer(Behaviour(0.015, 0.0, (answer(204),), b"", 0.0))
+        opened = connect(peer, monkeypatch)
+        told: list[str] = []
+        notices = Notices(AgentLink(("127.0.0.1", 1)), told.extend)
+        task = asyncio.ensure_future(notices.run())
+        notices.add("first", "failed")
+        while not told:
+            await asyncio.sleep(0.001)
+        notices.add("second", "failed")
+        await asyncio.sleep(0.07)
+        assert told == ["first", "second"] and len(opened) == 1
+        task.cancel()
+    run_virtual(work())
