--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -132,7 +132,7 @@
 def test_short_soaks_break_no_rule(tmp_path: Path) -> None:
     """Longer ones by hand: `python -m linnetstile.soak run --help`."""
     async def work() -> None:
-        results = await asyncio.gather(*(play(Plan(seed, 15.0), tmp_path / str(seed)) for seed in (2, 21)))
+        results = await asyncio.gather(*(play(Plan(seed, 15.0), tmp_path / str(seed)) for seed in (2, 7, 21)))
         for result in results:
             assert len(result.ledger.heard) > 100 and result.ledger.faults.total() > 10
             assert [str(breach) for breach in result.breaches] == []
