--- a/linnetstile/__main__.py
+++ b/linnetstile/__main__.py
@@ -42,8 +42,13 @@
     if host is None:
         return
     logging.info("clocks: monotonic %.3f s, wall %.3f s", time.monotonic(), time.time())
-    logging.info("%s serves on %s:%d, %d slots, idle connections end after %.0f ms", host.config.name,
-                 *host.config.listen, host.settings.slots, host.settings.idle_ms)
+    logging.info(
+        "%s serves on %s:%d, %d slots, idle connections end after %.0f ms",
+        host.config.name,
+        *host.config.listen,
+        host.settings.slots,
+        host.settings.idle_ms,
+    )
     host.tasks.start(follow(host, changed))
     await stopping.wait()
     await host.stop()
--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -11,9 +11,35 @@
 
 from .health import FADE_MS, OVERDUE, Ejections, averaged, doubt, forgotten, suspect
 from .interface import (
-    Action, AttemptEnded, Closing, Duty, Effect, Elsewhere, Endpoint, EndpointList, Event, Fail, HandOver,
-    Learned, Listing, ListKind, ListUnconfirmed, Message, Mode, Outcome, Overdue, Rates, Refuse, Scope, Send,
-    SetTimer, Settings, TimerFired, WaitTold, WatchList, Withdrawn,
+    Action,
+    AttemptEnded,
+    Closing,
+    Duty,
+    Effect,
+    Elsewhere,
+    Endpoint,
+    EndpointList,
+    Event,
+    Fail,
+    HandOver,
+    Learned,
+    Listing,
+    ListKind,
+    ListUnconfirmed,
+    Message,
+    Mode,
+    Outcome,
+    Overdue,
+    Rates,
+    Refuse,
+    Scope,
+    Send,
+    SetTimer,
+    Settings,
+    TimerFired,
+    WaitTold,
+    WatchList,
+    Withdrawn,
 )
 from .list_confirmation import ListConfirmation
 from .quotas import Quotas
@@ -110,8 +136,12 @@
         self._dispatch(now_ms, acts)
         self._make_room(acts, now_ms)
         self._hand_over(acts)
-        wakes = [self.board.agenda.next_at(now_ms), self.ask_at, self.confirmation.released_at(now_ms),
-                 *(end[0] for end in self.ends[:1])]
+        wakes = [
+            self.board.agenda.next_at(now_ms),
+            self.ask_at,
+            self.confirmation.released_at(now_ms),
+            *(end[0] for end in self.ends[:1]),
+        ]
         wake = min((at for at in wakes if at is not None), default=None)
         if wake is not None and (self.timer_at <= now_ms or wake < self.timer_at):
             self.timer_at = max(wake, now_ms + self.s.tick_ms)
@@ -503,6 +533,7 @@
 
     def _door(self, now: float, held: Held, lane: Lane) -> Door | None:
         """The endpoint to use: not doubted, little busy, with a warm connection, cheap."""
+
         def rank(door: Door) -> tuple[float, float, int]:
             zone = door.entry.zone
             fee = self.s.route_fees[zone] if zone < len(self.s.route_fees) else 0.0
@@ -665,8 +696,11 @@
 
     def known(self, dests: set[int] | None = None) -> list[Learned]:
         """What the other process needs to know of these destinations, or of all."""
-        return [Learned(dest, key, lane.told()) for dest in (self.lanes if dests is None else sorted(dests))
-                for key, lane in self.lanes.get(dest, {}).items()]
+        return [
+            Learned(dest, key, lane.told())
+            for dest in (self.lanes if dests is None else sorted(dests))
+            for key, lane in self.lanes.get(dest, {}).items()
+        ]
 
     def calls_out(self) -> dict[int, int]:
         dests = {dest for dest, _ in self.ejections.calling}
--- a/linnetstile/emulator/checker.py
+++ b/linnetstile/emulator/checker.py
@@ -135,8 +135,9 @@
             if written + HEED_MS <= now < until:
                 raise Breach(now, "told wait", owed.relay, ident, f"until {until:.1f}, told at {written:.1f}")
 
-    def _check_repeat(self, now: float, owed: Owed, ident: int, entry: Endpoint,
-                      risk: tuple[float, int, int]) -> None:
+    def _check_repeat(
+        self, now: float, owed: Owed, ident: int, entry: Endpoint, risk: tuple[float, int, int]
+    ) -> None:
         cls = self.settings.classes[owed.class_]
         if cls.effect is Effect.UNSAFE:
             raise Breach(now, "unsafe repeat", owed.relay, ident, f"an attempt at {risk[0]:.1f} may have run")
--- a/linnetstile/emulator/cli.py
+++ b/linnetstile/emulator/cli.py
@@ -64,8 +64,9 @@
             ctx.exit(BAD)
 
 
-imports = click.option("--import", "modules", multiple=True, metavar="MODULE",
-                       help="Another module whose measures may be named.")
+imports = click.option(
+    "--import", "modules", multiple=True, metavar="MODULE", help="Another module whose measures may be named."
+)
 in_markdown = click.option("--markdown", is_flag=True, help="As Markdown.")
 
 
@@ -102,25 +103,41 @@
 def known(experiment: Experiment) -> Experiment:
     if experiment.measure not in MEASURES:
         names = ", ".join(sorted(MEASURES))
-        raise ExperimentError(f"{experiment.name}: measure: {experiment.measure!r} is not known; known are "
-                              f"{names}")
+        raise ExperimentError(
+            f"{experiment.name}: measure: {experiment.measure!r} is not known; known are " f"{names}"
+        )
     return experiment
 
 
 @experiment.command("run", epilog=CODES)
 @click.argument("names", nargs=-1, required=True, metavar="FILE...")
-@click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=Path("found"),
-              show_default=True, help="The folder for NAME.jsonl and NAME.timed.jsonl.")
-@click.option("--jobs", type=click.IntRange(1), help=f"Runs side by side  [default: {runs.JOBS}]; timed "
-              "experiments run one at a time all the same.")
+@click.option(
+    "--out",
+    type=click.Path(file_okay=False, path_type=Path),
+    default=Path("found"),
+    show_default=True,
+    help="The folder for NAME.jsonl and NAME.timed.jsonl.",
+)
+@click.option(
+    "--jobs",
+    type=click.IntRange(1),
+    help=f"Runs side by side  [default: {runs.JOBS}]; timed " "experiments run one at a time all the same.",
+)
 @click.option("--sizes", callback=numbers, help="Instead of the file's, for a look: 1000,3000")
 @click.option("--seeds", callback=numbers, help="Instead of the file's, for a look: 1,2")
 @click.option("--target", type=click.IntRange(1), help="The size to extrapolate to, instead of the file's.")
 @in_markdown
 @imports
-def run_experiments(names: tuple[str, ...], out: Path, jobs: int | None, sizes: list[int] | None,
-                    seeds: list[int] | None, target: int | None, markdown: bool,
-                    modules: tuple[str, ...]) -> None:
+def run_experiments(
+    names: tuple[str, ...],
+    out: Path,
+    jobs: int | None,
+    sizes: list[int] | None,
+    seeds: list[int] | None,
+    target: int | None,
+    markdown: bool,
+    modules: tuple[str, ...],
+) -> None:
     """Runs the experiments of these files and prints their tables; progress goes to standard error.
 
     FILE is a path, the name of one of the package's own experiments, or `all` for all of those.
@@ -177,8 +194,10 @@
     before, runs_before = runs.load_runs(old)
     after, runs_after = runs.load_runs(new)
     if (before.measure, dict(before.params)) != (after.measure, dict(after.params)):
-        raise ExperimentError(f"{old} and {new} measure different things: {before.measure} with "
-                              f"{dict(before.params)}, {after.measure} with {dict(after.params)}")
+        raise ExperimentError(
+            f"{old} and {new} measure different things: {before.measure} with "
+            f"{dict(before.params)}, {after.measure} with {dict(after.params)}"
+        )
     click.echo(report.comparison(after, runs_before, runs_after, markdown))
 
 
--- a/linnetstile/emulator/clock.py
+++ b/linnetstile/emulator/clock.py
@@ -49,15 +49,17 @@
     def time(self) -> float:
         return self.now_s
 
-    def call_at(self, when: float, callback: Callable[[*Ts], object], *args: *Ts,
-                context: Context | None = None) -> asyncio.TimerHandle:
+    def call_at(
+        self, when: float, callback: Callable[[*Ts], object], *args: *Ts, context: Context | None = None
+    ) -> asyncio.TimerHandle:
         handle = asyncio.TimerHandle(when, callback, args, self, context)
         self.timers_set += 1
         heappush(self.timers, (when, self.timers_set, handle))
         return handle
 
-    def call_later(self, delay: float, callback: Callable[[*Ts], object], *args: *Ts,
-                   context: Context | None = None) -> asyncio.TimerHandle:
+    def call_later(
+        self, delay: float, callback: Callable[[*Ts], object], *args: *Ts, context: Context | None = None
+    ) -> asyncio.TimerHandle:
         return self.call_at(self.now_s + delay, callback, *args, context=context)
 
     def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
--- a/linnetstile/emulator/destinations.py
+++ b/linnetstile/emulator/destinations.py
@@ -83,8 +83,14 @@
 
 
 class Destination:
-    def __init__(self, number: int, settings: DestinationSettings, safety: Safety, rng: random.Random,
-                 endpoints: set[str]) -> None:
+    def __init__(
+        self,
+        number: int,
+        settings: DestinationSettings,
+        safety: Safety,
+        rng: random.Random,
+        endpoints: set[str],
+    ) -> None:
         self.number, self.settings, self.safety, self.rng = number, settings, safety, rng
         self.endpoints = endpoints  # the names of those that run
         self.health, self.tally = Health.UP, Tally()
@@ -219,8 +225,7 @@
             return False
         cold.fell, cold.warned = True, sum(met for _, met in self.window) / calls
         self.go_down(Health.DOWN)
-        self.returning = asyncio.get_running_loop().call_later(
-            self.settings.fallen_ms / 1000, self.come_back)
+        self.returning = asyncio.get_running_loop().call_later(self.settings.fallen_ms / 1000, self.come_back)
         return True
 
     def _note_served(self, now: float) -> None:
--- a/linnetstile/emulator/discovery.py
+++ b/linnetstile/emulator/discovery.py
@@ -41,11 +41,20 @@
     return replace(settings, calls_per_s=float("inf")) if pushed else settings
 
 
-def item(name: str, destination: int, zone: str, rate: float, lifecycle: str = "ready",
-         machine: str = "m1") -> Item:
+def item(
+    name: str, destination: int, zone: str, rate: float, lifecycle: str = "ready", machine: str = "m1"
+) -> Item:
     """An entry of the list in discovery's form."""
-    return {"instanceId": name, "hostPort": "127.0.0.1:7070", "zone": zone, "machineType": machine,
-            "cell": destination, "lifecycle": lifecycle, "weight": rate, "startedAtMs": 0}
+    return {
+        "instanceId": name,
+        "hostPort": "127.0.0.1:7070",
+        "zone": zone,
+        "machineType": machine,
+        "cell": destination,
+        "lifecycle": lifecycle,
+        "weight": rate,
+        "startedAtMs": 0,
+    }
 
 
 @dataclass(slots=True)
@@ -102,9 +111,14 @@
                     if version <= since:
                         break
                     found.setdefault(each["instanceId"], each)
-            self.bodies[since] = json.dumps({
-                "generation": self.version, "reset": since < 0, "instances": list(found.values()),
-            }, separators=(",", ":")).encode()
+            self.bodies[since] = json.dumps(
+                {
+                    "generation": self.version,
+                    "reset": since < 0,
+                    "instances": list(found.values()),
+                },
+                separators=(",", ":"),
+            ).encode()
         return self.bodies[since]
 
     # -- calls -------------------------------------------------------------------------------------------
--- a/linnetstile/emulator/events.py
+++ b/linnetstile/emulator/events.py
@@ -158,8 +158,12 @@
             name = f"{old.partition('+')[0]}+{place}"
             destination.endpoints.add(name)
             zone, rate, machine = entry["zone"], entry["weight"], entry["machineType"]
-            world.discovery.change([entry | {"lifecycle": "draining"},
-                                    item(name, destination.number, zone, rate, machine=machine)])
+            world.discovery.change(
+                [
+                    entry | {"lifecycle": "draining"},
+                    item(name, destination.number, zone, rate, machine=machine),
+                ]
+            )
             at(now + self.drain_s, self._gone, world, old)
         at(now + 2 / self.per_s, self._replace, world, place + 1)
 
--- a/linnetstile/emulator/experiment.py
+++ b/linnetstile/emulator/experiment.py
@@ -1,25 +1,25 @@
 """Owns the experiment file: one TOML file that says what is measured, over which sizes, and what is expected.
 
-    name = "list_drain"
-    measure = "list_drain"              # see `python -m linnetstile.emulator measures`
-    vary = "endpoints listed"           # what the size stands for
-    sizes = [1000, 3000, 10000, 30000]  # four at least
-    seeds = [1, 2, 3]                   # three at least
-    timeout_s = 60.0                    # of one run
-    total_timeout_s = 180.0             # of all: what is not begun by then is reported as not run
-    timed = true                        # reads the machine's clock: its runs go one at a time
-    target = 250000                     # the size that figures are extrapolated to; optional
-
-    [params]                            # the measure's fixed figures; optional
-    endpoints_each = 2.5
-
-    [[fit]]                             # one at least
-    metric = "handle_opcodes"
-    shape = "linear"                    # a check: it fails if the figure grows faster; optional
-    tolerance = 0.15                    # of the exponent; optional
-    limit = 20000.0                     # what the figure, `per_s` times, may be at the target; optional
-    per_s = 1.0                         # optional
-    why = "2 % of a core at one change a second"  # says where the limit comes from; needed with one
+name = "list_drain"
+measure = "list_drain"              # see `python -m linnetstile.emulator measures`
+vary = "endpoints listed"           # what the size stands for
+sizes = [1000, 3000, 10000, 30000]  # four at least
+seeds = [1, 2, 3]                   # three at least
+timeout_s = 60.0                    # of one run
+total_timeout_s = 180.0             # of all: what is not begun by then is reported as not run
+timed = true                        # reads the machine's clock: its runs go one at a time
+target = 250000                     # the size that figures are extrapolated to; optional
+
+[params]                            # the measure's fixed figures; optional
+endpoints_each = 2.5
+
+[[fit]]                             # one at least
+metric = "handle_opcodes"
+shape = "linear"                    # a check: it fails if the figure grows faster; optional
+tolerance = 0.15                    # of the exponent; optional
+limit = 20000.0                     # what the figure, `per_s` times, may be at the target; optional
+per_s = 1.0                         # optional
+why = "2 % of a core at one change a second"  # says where the limit comes from; needed with one
 """
 
 from __future__ import annotations
@@ -37,8 +37,12 @@
 TOLERANCE = 0.15  # of an exponent: a constant part and rounding bend a line by less
 NAME = re.compile(r"[a-z][a-z0-9_]{0,63}")
 SHAPES: dict[str, Callable[[float], float]] = {
-    "flat": lambda n: 1.0, "log": lambda n: math.log(n + 1), "sqrt": math.sqrt, "linear": lambda n: n,
-    "nlogn": lambda n: n * math.log(n + 1), "quadratic": lambda n: n * n,
+    "flat": lambda n: 1.0,
+    "log": lambda n: math.log(n + 1),
+    "sqrt": math.sqrt,
+    "linear": lambda n: n,
+    "nlogn": lambda n: n * math.log(n + 1),
+    "quadratic": lambda n: n * n,
 }
 
 
@@ -143,8 +147,9 @@
         raise ExperimentError(f"not TOML: {error}") from error
 
 
-def read(table: Mapping[str, Any], sizes: list[int] | None = None,
-         seeds: list[int] | None = None) -> Experiment:
+def read(
+    table: Mapping[str, Any], sizes: list[int] | None = None, seeds: list[int] | None = None
+) -> Experiment:
     fields = Fields(table)
     name, target = fields.text("name"), fields.get("target")
     if not NAME.fullmatch(name):
@@ -156,11 +161,17 @@
         raise fields.error("params", f"a table is needed, not {params!r}")
     told_sizes, told_seeds = fields.whole_numbers("sizes", SIZES, 1), fields.whole_numbers("seeds", SEEDS, 0)
     found = Experiment(
-        name, fields.text("measure"), fields.text("vary"),
+        name,
+        fields.text("measure"),
+        fields.text("vary"),
         whole_numbers(sizes, "--sizes", LOOK_SIZES, 1) if sizes is not None else told_sizes,
         whole_numbers(seeds, "--seeds", LOOK_SEEDS, 0) if seeds is not None else told_seeds,
-        fields.number("timeout_s", needed=True) or 0.0, fields.number("total_timeout_s", needed=True) or 0.0,
-        fits_from(fields.get("fit", needed=True), target), params, fields.flag("timed"), target,
+        fields.number("timeout_s", needed=True) or 0.0,
+        fields.number("total_timeout_s", needed=True) or 0.0,
+        fits_from(fields.get("fit", needed=True), target),
+        params,
+        fields.flag("timed"),
+        target,
         sizes is not None or seeds is not None,
     )
     fields.done()
@@ -184,8 +195,14 @@
         raise fields.error("shape", f"{shape!r} is not known; known are {', '.join(SHAPES)}")
     if limit is not None and target is None:
         raise fields.error("limit", "needs a target, at which it has to hold")
-    fit = Fit(fields.text("metric"), shape, fields.number("tolerance", TOLERANCE) or TOLERANCE, limit,
-              fields.number("per_s", 1.0) or 1.0, fields.text("why", needed=limit is not None))
+    fit = Fit(
+        fields.text("metric"),
+        shape,
+        fields.number("tolerance", TOLERANCE) or TOLERANCE,
+        limit,
+        fields.number("per_s", 1.0) or 1.0,
+        fields.text("why", needed=limit is not None),
+    )
     fields.done()
     return fit
 
--- a/linnetstile/emulator/fleet.py
+++ b/linnetstile/emulator/fleet.py
@@ -32,8 +32,16 @@
     api.MessageClass("charge", api.Effect.KEYED, 2000.0, 8000.0, 2.0, 0.2, key_window_ms=20_000.0),
     api.MessageClass("command", api.Effect.UNSAFE, 1000.0, 4000.0, 3.0, 0.0),
 )
-SAFETY = api.Safety(answer_slack_ms=50.0, drain_grace_ms=2000.0, cold_share=0.25, cold_ms=10_000.0,
-                    fall_multiple=2.0, fall_ms=1500.0, ask_within_ms=3000.0, key_rest_ms=500.0)
+SAFETY = api.Safety(
+    answer_slack_ms=50.0,
+    drain_grace_ms=2000.0,
+    cold_share=0.25,
+    cold_ms=10_000.0,
+    fall_multiple=2.0,
+    fall_ms=1500.0,
+    ask_within_ms=3000.0,
+    key_rest_ms=500.0,
+)
 
 
 def histogram() -> HdrHistogram:
@@ -70,12 +78,25 @@
 
     def settings(self, region: int) -> api.Settings:
         return api.Settings(
-            classes=self.classes, kinds=(api.DestinationKind("m1", self.batch),), slots=self.slots,
-            hold=self.hold, attempts=self.attempts, relays=self.relays, zone=region, rates=self.rates,
-            ask_for_list=not self.pushed, idle_ms=15_000.0, connect_timeout_ms=1000.0, tick_ms=self.tick_ms,
-            marks_repeats=True, decay=api.Decay.LINE, safety=self.safety, longest_advice_ms=2000.0,
+            classes=self.classes,
+            kinds=(api.DestinationKind("m1", self.batch),),
+            slots=self.slots,
+            hold=self.hold,
+            attempts=self.attempts,
+            relays=self.relays,
+            zone=region,
+            rates=self.rates,
+            ask_for_list=not self.pushed,
+            idle_ms=15_000.0,
+            connect_timeout_ms=1000.0,
+            tick_ms=self.tick_ms,
+            marks_repeats=True,
+            decay=api.Decay.LINE,
+            safety=self.safety,
+            longest_advice_ms=2000.0,
             report_fields=("x0", "x1") if self.destination.reports else (),
-            limit_report=(0, 1) if self.destination.reports else None)
+            limit_report=(0, 1) if self.destination.reports else None,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,29 +143,43 @@
         falls = [each for each in self.returns if each.fell]
         back = [each.full_after_ms for each in self.returns if each.full_after_ms is not None]
         return {
-            "handed_in": self.handed_in, "turned_away": self.turned_away, "rerouted": self.rerouted,
-            "delivered": self.delivered, "returned": self.returned, "failed": self.failed,
-            "resumed": self.resumed, "delivered_share": self.delivered / max(1, self.handed_in),
+            "handed_in": self.handed_in,
+            "turned_away": self.turned_away,
+            "rerouted": self.rerouted,
+            "delivered": self.delivered,
+            "returned": self.returned,
+            "failed": self.failed,
+            "resumed": self.resumed,
+            "delivered_share": self.delivered / max(1, self.handed_in),
             "p50_ms": self.latency_ms.get_value_at_percentile(50),
             "p99_ms": self.latency_ms.get_value_at_percentile(99),
             "control_messages_per_s": self.control_messages_per_s,
             "control_bytes_per_s": self.control_bytes_per_s,
-            "discovery_calls": self.discovery_calls, "discovery_turned_away": self.discovery_turned_away,
-            "versions": self.versions, "staleness_ms": self.staleness_ms,
-            "calls": self.calls, "refused": self.refused, "returns": len(self.returns), "falls": len(falls),
+            "discovery_calls": self.discovery_calls,
+            "discovery_turned_away": self.discovery_turned_away,
+            "versions": self.versions,
+            "staleness_ms": self.staleness_ms,
+            "calls": self.calls,
+            "refused": self.refused,
+            "returns": len(self.returns),
+            "falls": len(falls),
             "warned_falls": sum(each.warned > WARNED for each in falls),
             "window_of_budget": max((each.of_budget for each in self.returns), default=0.0),
             "window_of_bound": max((each.of_bound for each in self.returns), default=0.0),
-            "back_in_full": len(back), "full_after_ms": max(back, default=0.0),
-            "turns": self.turns, "module_events": self.module_events, "breaches": self.breaches,
+            "back_in_full": len(back),
+            "full_after_ms": max(back, default=0.0),
+            "turns": self.turns,
+            "module_events": self.module_events,
+            "breaches": self.breaches,
             "checks": self.checks,
         }
 
     def text(self) -> str:
         """All that is counted, for comparing runs byte by byte."""
         looks = [(look.at_s, look.held, look.calls, look.delivered, look.asked) for look in self.looks]
-        return json.dumps([self.counted(), self.outcomes, looks, self.latency_ms.encode().decode()],
-                          sort_keys=True)
+        return json.dumps(
+            [self.counted(), self.outcomes, looks, self.latency_ms.encode().decode()], sort_keys=True
+        )
 
 
 class World:
@@ -159,14 +194,30 @@
         settings = [scenario.settings(region) for region in range(scenario.regions)]
         self.checker = Checker(settings[0])
         self.destinations = [self._destination(number) for number in range(scenario.destinations)]
-        self.discovery = Discovery(discovery_for(scenario.discovery, scenario.pushed), [
-            each for destination in self.destinations for each in self._items(destination)])
+        self.discovery = Discovery(
+            discovery_for(scenario.discovery, scenario.pushed),
+            [each for destination in self.destinations for each in self._items(destination)],
+        )
         self.around = Surroundings(
-            self.network, self.discovery, self.destinations, self.checker, self.zones, scenario.pushed,
-            self._delivered, self._told)
-        self.relays = [HollowRelay(number, number % scenario.regions, settings[number % scenario.regions],
-                                   self.around, plain_stream(seed, "relay", number))
-                       for number in range(scenario.relays)]
+            self.network,
+            self.discovery,
+            self.destinations,
+            self.checker,
+            self.zones,
+            scenario.pushed,
+            self._delivered,
+            self._told,
+        )
+        self.relays = [
+            HollowRelay(
+                number,
+                number % scenario.regions,
+                settings[number % scenario.regions],
+                self.around,
+                plain_stream(seed, "relay", number),
+            )
+            for number in range(scenario.relays)
+        ]
         self.up_s = [0.0] * scenario.relays
         self.back_s = 0.0  # when discovery came back the last time
         self.rates = relay_rates(scenario.load, scenario.relays, seed)
@@ -177,14 +228,25 @@
         load = scenario.load.per_relay_per_s * scenario.relays * float(self.popular[number])
         limit = scenario.limit_per_s or max(scenario.least_limit_per_s, scenario.headroom * load)
         names = {ENDPOINT.format(number, place) for place in range(scenario.endpoints_each)}
-        return Destination(number, replace(scenario.destination, limit_per_s=limit), scenario.safety,
-                           plain_stream(self.seed, "destination", number), names)
+        return Destination(
+            number,
+            replace(scenario.destination, limit_per_s=limit),
+            scenario.safety,
+            plain_stream(self.seed, "destination", number),
+            names,
+        )
 
     def _items(self, destination: Destination) -> list[Item]:
         """A destination's endpoints lie in one region after the other."""
-        return [item(ENDPOINT.format(destination.number, place), destination.number,
-                     self.zones[(destination.number + place) % len(self.zones)],
-                     destination.settings.limit_per_s) for place in range(self.scenario.endpoints_each)]
+        return [
+            item(
+                ENDPOINT.format(destination.number, place),
+                destination.number,
+                self.zones[(destination.number + place) % len(self.zones)],
+                destination.settings.limit_per_s,
+            )
+            for place in range(self.scenario.endpoints_each)
+        ]
 
     # -- what relays tell of -----------------------------------------------------------------------------
 
@@ -286,7 +348,8 @@
         """Without the start, in which all relays take the whole list."""
         processor_s, module_s, events = (now - then for now, then in zip(self._spent(), before, strict=True))
         self.result.timed = {
-            "processor_s": processor_s, "module_s": module_s,
+            "processor_s": processor_s,
+            "module_s": module_s,
             "module_us_an_event": 1e6 * module_s / max(1, events),
             "processor_us_an_event": 1e6 * processor_s / max(1, events),
         }
@@ -298,10 +361,15 @@
     def _look(self) -> None:
         self.checker.look(self.relays[0].now())
         loop = asyncio.get_running_loop()
-        self.result.looks.append(Look(
-            loop.time(), sum(len(relay.held) for relay in self.relays),
-            sum(each.tally.calls for each in self.destinations),
-            sum(relay.work.ends["delivered"] for relay in self.relays), self.discovery.counts.calls))
+        self.result.looks.append(
+            Look(
+                loop.time(),
+                sum(len(relay.held) for relay in self.relays),
+                sum(each.tally.calls for each in self.destinations),
+                sum(relay.work.ends["delivered"] for relay in self.relays),
+                self.discovery.counts.calls,
+            )
+        )
         loop.call_later(SAMPLE_S, self._look)
 
     def _sum_up(self) -> None:
--- a/linnetstile/emulator/fleet_measures.py
+++ b/linnetstile/emulator/fleet_measures.py
@@ -31,8 +31,13 @@
 from .network import Delays, EmulatedAgent, Network, Traffic
 from .streams import plain_stream
 
-PARTS = {"load": Load, "destination": DestinationSettings, "discovery": DiscoverySettings, "delays": Delays,
-         "safety": Safety}
+PARTS = {
+    "load": Load,
+    "destination": DestinationSettings,
+    "discovery": DiscoverySettings,
+    "delays": Delays,
+    "safety": Safety,
+}
 SCALED = ("total_per_s", "destinations_per_relay")
 
 
@@ -67,23 +72,38 @@
     if not isinstance(load.class_shares, tuple):  # a list, as files have them
         load = replace(load, class_shares=tuple(load.class_shares))
     places = {"limit_per_s": 0.0} | named(DestinationSettings, params)
-    return Scenario(**plain | {
-        "relays": size, "load": load, "destination": DestinationSettings(**places),
-        "discovery": DiscoverySettings(**named(DiscoverySettings, params)),
-        "delays": Delays(**named(Delays, params)), "safety": replace(SAFETY, **named(Safety, params)),
-        "events": events})
+    return Scenario(
+        **plain
+        | {
+            "relays": size,
+            "load": load,
+            "destination": DestinationSettings(**places),
+            "discovery": DiscoverySettings(**named(DiscoverySettings, params)),
+            "delays": Delays(**named(Delays, params)),
+            "safety": replace(SAFETY, **named(Safety, params)),
+            "events": events,
+        }
+    )
 
 
 def sample(result: FleetResult, **further: float) -> Sample:
-    return Sample(counted=result.counted() | further, timed=result.timed,
-                  histograms={"latency_ms": result.latency_ms})
+    return Sample(
+        counted=result.counted() | further, timed=result.timed, histograms={"latency_ms": result.latency_ms}
+    )
 
 
 def peak_per_s(looks: Sequence[Look], name: str, begin_s: float, end_s: float) -> float:
     """The most of a count that any second in between saw."""
     within = [look for look in looks if begin_s <= look.at_s <= end_s]
-    return max((getattr(later, name) - getattr(look, name) for look in within for later in within
-                if math.isclose(later.at_s - look.at_s, 1.0)), default=0.0)
+    return max(
+        (
+            getattr(later, name) - getattr(look, name)
+            for look in within
+            for later in within
+            if math.isclose(later.at_s - look.at_s, 1.0)
+        ),
+        default=0.0,
+    )
 
 
 # -- discovery alone -----------------------------------------------------------------------------------------
@@ -135,9 +155,11 @@
                 self.all_heard.set()
 
     def figures(self) -> dict[str, float]:
-        return {"p50_ms": self.heard_ms.get_value_at_percentile(50),
-                "p99_ms": self.heard_ms.get_value_at_percentile(99),
-                "worst_ms": self.heard_ms.get_max_value()}
+        return {
+            "p50_ms": self.heard_ms.get_value_at_percentile(50),
+            "p99_ms": self.heard_ms.get_value_at_percentile(99),
+            "worst_ms": self.heard_ms.get_max_value(),
+        }
 
     def sent(self) -> tuple[int, int]:
         return sum(each.messages for each in self.traffic), sum(each.bytes for each in self.traffic)
@@ -145,8 +167,12 @@
 
 def watches_of(params: Params, size: int, seed: int, mine: dict[str, Any]) -> Watches:
     shared = {"endpoints": 140, "regions": 3, "pushed": False, "settle_s": 30.0}
-    check(params, {each.name for kind in (DiscoverySettings, Delays) for each in fields(kind)} | set(mine)
-          | set(shared))
+    check(
+        params,
+        {each.name for kind in (DiscoverySettings, Delays) for each in fields(kind)}
+        | set(mine)
+        | set(shared),
+    )
     figures = own(params, **shared)
     items = [item(f"s-{number:06x}", number, "a", 10.0) for number in range(figures["endpoints"])]
     network = Network(Delays(**named(Delays, params)), plain_stream(seed, "network"))
@@ -180,12 +206,19 @@
     counts = discovery.counts
     return Sample(
         counted={
-            "watching_before": settled, "last_ms": 1000 * (loop.time() - watches.late_from_s),
-            "unheard": watches.missing, "calls": counts.calls, "begun": counts.begun,
-            "turned_away": counts.turned_away, "calls_while_down": before.while_down,
+            "watching_before": settled,
+            "last_ms": 1000 * (loop.time() - watches.late_from_s),
+            "unheard": watches.missing,
+            "calls": counts.calls,
+            "begun": counts.begun,
+            "turned_away": counts.turned_away,
+            "calls_while_down": before.while_down,
             "turned_away_before": before.turned_away,
-        } | watches.figures(),
-        timed={"processor_s": time.process_time() - began}, histograms={"heard_ms": watches.heard_ms})
+        }
+        | watches.figures(),
+        timed={"processor_s": time.process_time() - began},
+        histograms={"heard_ms": watches.heard_ms},
+    )
 
 
 @measure("discovery_return")
@@ -214,11 +247,18 @@
             await watches.all_heard.wait()
     return Sample(
         counted={
-            "messages_per_s": messages / span_s / size, "bytes_per_s": sent / span_s / size,
-            "discovery_calls_per_s": calls.calls / span_s, "begun_per_s": calls.begun / span_s,
-            "turned_away": calls.turned_away, "versions": changes, "unheard": watches.missing,
-        } | watches.figures(),
-        timed={"processor_s": time.process_time() - began}, histograms={"heard_ms": watches.heard_ms})
+            "messages_per_s": messages / span_s / size,
+            "bytes_per_s": sent / span_s / size,
+            "discovery_calls_per_s": calls.calls / span_s,
+            "begun_per_s": calls.begun / span_s,
+            "turned_away": calls.turned_away,
+            "versions": changes,
+            "unheard": watches.missing,
+        }
+        | watches.figures(),
+        timed={"processor_s": time.process_time() - began},
+        histograms={"heard_ms": watches.heard_ms},
+    )
 
 
 @measure("fleet_control")
@@ -255,16 +295,23 @@
     """All relays are restarted from `at_s` on, a `step_share` of them every `gap_s` (`planned`, or killed).
     The run lasts 15 s longer than the steps do."""
     figures = own(params, step_share=0.1, at_s=15.0, gap_s=5.0, down_s=0.6, planned=True)
-    roll = RollingRestart(figures["at_s"], max(1, round(size * figures["step_share"])), figures["gap_s"],
-                          figures["down_s"], figures["planned"])
+    roll = RollingRestart(
+        figures["at_s"],
+        max(1, round(size * figures["step_share"])),
+        figures["gap_s"],
+        figures["down_s"],
+        figures["planned"],
+    )
     end_s = figures["at_s"] + roll.steps(size) * figures["gap_s"] + 15.0
     plain = scenario_of(params, size, figures, (roll,))
     result = run_fleet(replace(plain, duration_s=end_s), seed)
     return sample(
-        result, steps=roll.steps(size),
+        result,
+        steps=roll.steps(size),
         discovery_calls_per_s_before=peak_per_s(result.looks, "asked", plain.settle_s, figures["at_s"]),
         discovery_calls_per_s_peak=peak_per_s(result.looks, "asked", figures["at_s"], end_s),
-        held_peak=max(look.held for look in result.looks))
+        held_peak=max(look.held for look in result.looks),
+    )
 
 
 @measure("region_cut")
@@ -272,14 +319,18 @@
     """The region `region` is cut off from the others at `at_s` for `cut_s`: what is held at its return, the
     most calls a second at destinations after it, and how long until no more is held than the most before."""
     figures = own(params, region=1, at_s=20.0, cut_s=10.0)
-    plain = scenario_of(params, size, figures, (RegionCut(figures["at_s"], figures["region"],
-                                                          figures["cut_s"]),))
+    plain = scenario_of(
+        params, size, figures, (RegionCut(figures["at_s"], figures["region"], figures["cut_s"]),)
+    )
     result = run_fleet(plain, seed)
     looks, begin_s, back_s = result.looks, figures["at_s"], figures["at_s"] + figures["cut_s"]
     usual = max(look.held for look in looks if plain.settle_s <= look.at_s <= begin_s)
     drained_s = next(look.at_s for look in looks if look.at_s > back_s and look.held <= usual) - back_s
     return sample(
-        result, held_before=usual, held_at_return=next(x.held for x in looks if x.at_s >= back_s),
+        result,
+        held_before=usual,
+        held_at_return=next(x.held for x in looks if x.at_s >= back_s),
         calls_per_s_before=peak_per_s(looks, "calls", plain.settle_s, begin_s),
         calls_per_s_peak=peak_per_s(looks, "calls", back_s, plain.duration_s),
-        drained_after_ms=1000 * drained_s)
+        drained_after_ms=1000 * drained_s,
+    )
--- a/linnetstile/emulator/hollow.py
+++ b/linnetstile/emulator/hollow.py
@@ -98,8 +98,9 @@
 
 
 class HollowRelay:
-    def __init__(self, number: int, region: int, settings: api.Settings, around: Surroundings,
-                 seeds: random.Random) -> None:
+    def __init__(
+        self, number: int, region: int, settings: api.Settings, around: Surroundings, seeds: random.Random
+    ) -> None:
         self.number, self.region, self.settings, self.around = number, region, settings, around
         self.seeds = seeds  # of one process after the other
         self.work, self.traffic = Work(), Traffic()
@@ -124,8 +125,9 @@
         """A new process, which takes up what the journal holds."""
         around, now = self.around, self.now()
         self.relay = Relay(self.settings, self.seeds.getrandbits(64))
-        self.directory = SharedDirectory(tuple(kind.name for kind in self.settings.kinds), around.zones,
-                                         around.shared)
+        self.directory = SharedDirectory(
+            tuple(kind.name for kind in self.settings.kinds), around.zones, around.shared
+        )
         self.agent = EmulatedAgent(around.network, around.discovery, self.region, self.number)
         self.agent.traffic = self.traffic
         self.events, self.idle, self.last_turn = [], {}, now - self.settings.tick_ms
@@ -147,10 +149,19 @@
             number = self.directory.number(risk.endpoint)
             where = api.Endpoint(number, entry.destination, api.Listing.READY, zone=risk.zone)
             self.around.checker.renumbered(entry.id, number)
-        self._feed(api.Message(
-            entry.id, entry.destination, entry.class_, entry.due_ms - now, size=entry.size,
-            age_ms=now - entry.since_ms, tries=entry.tries,
-            risk_age_ms=None if risk is None else now - risk.at_ms, risk=where))
+        self._feed(
+            api.Message(
+                entry.id,
+                entry.destination,
+                entry.class_,
+                entry.due_ms - now,
+                size=entry.size,
+                age_ms=now - entry.since_ms,
+                tries=entry.tries,
+                risk_age_ms=None if risk is None else now - risk.at_ms,
+                risk=where,
+            )
+        )
 
     def kill(self) -> None:
         """The process is gone at once; its connections break, and what it called may still run."""
@@ -184,15 +195,22 @@
             self.kill()
             ended()
         else:
-            self.closing = asyncio.get_running_loop().call_later(
-                0.1, self._look_to_end, begun, ended)
+            self.closing = asyncio.get_running_loop().call_later(0.1, self._look_to_end, begun, ended)
 
     def _list(self) -> dict[str, Any]:
         """What its directory holds, in discovery's form."""
         lives = {api.Listing.READY: "ready", api.Listing.DRAINING: "draining"}
-        items = [item(known.name, known.entry.destination, self.around.zones[known.entry.zone],
-                      known.entry.rate, lives[known.entry.listing], self.directory.kinds[known.entry.kind])
-                 for known in self.directory.by_name.values()]
+        items = [
+            item(
+                known.name,
+                known.entry.destination,
+                self.around.zones[known.entry.zone],
+                known.entry.rate,
+                lives[known.entry.listing],
+                self.directory.kinds[known.entry.kind],
+            )
+            for known in self.directory.by_name.values()
+        ]
         return {"generation": self.directory.version, "reset": True, "instances": items}
 
     # -- the module's turn: as net.host.Host has it ------------------------------------------------------
@@ -322,11 +340,35 @@
 class HollowCall:
     """One call, from its connection to its outcome: each step is a callback of the loop, not a task."""
 
-    __slots__ = ("relay", "endpoint", "known", "group", "attempts", "until", "keep", "size", "sent", "kept",
-                 "begun", "written_ms", "timer", "over", "destination", "region", "caller")
-
-    def __init__(self, relay: HollowRelay, endpoint: int, known: Known | None, group: list[Entry],
-                 until_ms: float, keep: bool) -> None:
+    __slots__ = (
+        "relay",
+        "endpoint",
+        "known",
+        "group",
+        "attempts",
+        "until",
+        "keep",
+        "size",
+        "sent",
+        "kept",
+        "begun",
+        "written_ms",
+        "timer",
+        "over",
+        "destination",
+        "region",
+        "caller",
+    )
+
+    def __init__(
+        self,
+        relay: HollowRelay,
+        endpoint: int,
+        known: Known | None,
+        group: list[Entry],
+        until_ms: float,
+        keep: bool,
+    ) -> None:
         self.relay, self.endpoint, self.known, self.group = relay, endpoint, known, group
         self.caller = relay.number
         self.attempts = [entry.attempts for entry in group]
@@ -354,8 +396,9 @@
             self._write()
             return
         connect_ms = relay.settings.connect_timeout_ms or float("inf")
-        self.timer = loop.call_at(min(self.until, self.begun + connect_ms) / 1000, self.cut,
-                                  api.Outcome.TIMEOUT)
+        self.timer = loop.call_at(
+            min(self.until, self.begun + connect_ms) / 1000, self.cut, api.Outcome.TIMEOUT
+        )
         relay.around.network.carry(relay.region, self.region, self._connects)
 
     def _connects(self) -> None:
@@ -372,8 +415,11 @@
             return
         relay, loop = self.relay, asyncio.get_running_loop()
         now, entry = relay.now(), self.known.entry
-        self.sent = [each for each in self.group
-                     if relay.held.get(each.id) is each and relay.relay.may_write(now, each.id)]
+        self.sent = [
+            each
+            for each in self.group
+            if relay.held.get(each.id) is each and relay.relay.may_write(now, each.id)
+        ]
         if not self.sent:
             relay.idle.setdefault(self.endpoint, []).append(now)
             loop.call_soon(self._finish, api.Outcome.NOT_SENT)
@@ -392,8 +438,9 @@
             return
         relay = self.relay
         if wait_ms:
-            relay.around.checker.told_wait(relay.now(), relay.number, self.known.entry, self.written_ms,
-                                           wait_ms)
+            relay.around.checker.told_wait(
+                relay.now(), relay.number, self.known.entry, self.written_ms, wait_ms
+            )
         if self.keep:
             relay.idle.setdefault(self.endpoint, []).append(relay.now())
         self._finish(outcome, wait_ms, report)
@@ -411,9 +458,24 @@
         for entry, attempt in zip(self.group, self.attempts, strict=True):
             wrote = entry in self.sent
             fate = outcome if wrote or not self.sent else api.Outcome.NOT_SENT
-            relay.ended(entry, attempt, self.endpoint, api.AttemptEnded(
-                entry.id, attempt, self.endpoint, fate, took, wrote and fate is api.Outcome.OK,
-                wait_ms if wrote else 0.0, False, report if wrote else (), self.kept), wrote)
+            relay.ended(
+                entry,
+                attempt,
+                self.endpoint,
+                api.AttemptEnded(
+                    entry.id,
+                    attempt,
+                    self.endpoint,
+                    fate,
+                    took,
+                    wrote and fate is api.Outcome.OK,
+                    wait_ms if wrote else 0.0,
+                    False,
+                    report if wrote else (),
+                    self.kept,
+                ),
+                wrote,
+            )
 
     def abandon(self) -> None:
         """Nobody hears of it any more."""
--- a/linnetstile/emulator/measure.py
+++ b/linnetstile/emulator/measure.py
@@ -31,8 +31,10 @@
 
 def measure(name: str) -> Callable[[Measure], Measure]:
     """Registers a function under the name that experiment files use; ValueError if it is taken."""
+
     def register(function: Measure) -> Measure:
         if MEASURES.setdefault(name, function) is not function:
             raise ValueError(f"measure {name!r} is registered twice")
         return function
+
     return register
--- a/linnetstile/emulator/module_measures.py
+++ b/linnetstile/emulator/module_measures.py
@@ -56,9 +56,17 @@
     """Settings of one relay among many; each destination's rate is listed."""
     classes = (api.MessageClass("safe", api.Effect.SAFE, 4000.0, DEADLINE_MS, 1.0, 0.5),)
     values: dict[str, Any] = {
-        "classes": classes, "kinds": (api.DestinationKind("k"),), "slots": SLOTS, "hold": HOLD, "attempts": 8,
-        "relays": RELAYS, "rates": api.Rates.NOMINAL, "idle_ms": 10_000.0, "connect_timeout_ms": 1500.0,
-        "tick_ms": 5.0, "safety": api.Safety(20.0, 250.0, 0.2, 9000.0, 2.0, 1500.0, 10_000.0, 100.0),
+        "classes": classes,
+        "kinds": (api.DestinationKind("k"),),
+        "slots": SLOTS,
+        "hold": HOLD,
+        "attempts": 8,
+        "relays": RELAYS,
+        "rates": api.Rates.NOMINAL,
+        "idle_ms": 10_000.0,
+        "connect_timeout_ms": 1500.0,
+        "tick_ms": 5.0,
+        "safety": api.Safety(20.0, 250.0, 0.2, 9000.0, 2.0, 1500.0, 10_000.0, 100.0),
     }
     return api.Settings(**{**values, **more})
 
@@ -89,9 +97,16 @@
     def entry(self, number: int, lifecycle: str = "ready", weight: float = 50.0) -> dict[str, Any]:
         """All are of one length: what a list takes then shows how many are on it."""
         host = f"10.{100 + number // 10_000 % 100}.{100 + number // 100 % 100}.{100 + number % 100}:8080"
-        return {"instanceId": f"cell-{number:08d}", "hostPort": host, "zone": ZONES[number % len(ZONES)],
-                "machineType": "k", "cell": self.destination(int(number / self.each)),
-                "lifecycle": lifecycle, "weight": weight, "startedAtMs": 1_700_000_000_000 + number}
+        return {
+            "instanceId": f"cell-{number:08d}",
+            "hostPort": host,
+            "zone": ZONES[number % len(ZONES)],
+            "machineType": "k",
+            "cell": self.destination(int(number / self.each)),
+            "lifecycle": lifecycle,
+            "weight": weight,
+            "startedAtMs": 1_700_000_000_000 + number,
+        }
 
     @staticmethod
     def destination(number: int) -> int:
@@ -127,8 +142,20 @@
 async def idle_host(seed: int, disk_bytes: int = DISK_BYTES) -> AsyncIterator[Host]:
     """A relay's whole process but for its tasks: nothing is served, and discovery is not asked."""
     with tempfile.TemporaryDirectory() as folder:
-        host = Host(Config("n0", ("127.0.0.1", 0), ("127.0.0.1", 9), Path(folder), seed, 1024, disk_bytes,
-                           {}, settings_of(), ZONES))
+        host = Host(
+            Config(
+                "n0",
+                ("127.0.0.1", 0),
+                ("127.0.0.1", 9),
+                Path(folder),
+                seed,
+                1024,
+                disk_bytes,
+                {},
+                settings_of(),
+                ZONES,
+            )
+        )
         try:
             yield host
         finally:
@@ -164,8 +191,9 @@
     return count
 
 
-def cpu_us(act: Callable[[int], object], prepare: Callable[[int], object] = lambda n: None,
-           most: int = MOST_TIMES) -> float:
+def cpu_us(
+    act: Callable[[int], object], prepare: Callable[[int], object] = lambda n: None, most: int = MOST_TIMES
+) -> float:
     """Processor time of `act(n)` for n = 0, 1, ..., median in microseconds; `prepare(n)` is not counted."""
     taken: list[float] = []
     start = time.process_time()
@@ -197,8 +225,9 @@
 
 def opcodes_of(params: Params, size: int, acts: dict[str, Act]) -> dict[str, float]:
     """Runs each once, in order; only counted up to the size that the experiment gives."""
-    return {f"{name}_opcodes": float(opcodes(act)) for name, act in acts.items()} \
-        if counts(params, size) else {}
+    return (
+        {f"{name}_opcodes": float(opcodes(act)) for name, act in acts.items()} if counts(params, size) else {}
+    )
 
 
 # -- lists ----------------------------------------------------------------------------------------------
@@ -226,11 +255,19 @@
     event = directories[0].apply(raw)
     fresh(0)
     counted = {"list_bytes": float(len(answer)), "entry_bytes": len(answer) / size}
-    counted |= opcodes_of(params, size, {
-        "apply": lambda: directories[0].apply(raw), "handle": lambda: relays[0].handle(NOW_MS, [event]),
-        "again_handle": lambda: relays[0].handle(NOW_MS, [event])})
-    timed = {"parse_us": cpu_us(lambda n: json.loads(answer)),
-             "apply_us": cpu_us(lambda n: directories[0].apply(raw), fresh)}
+    counted |= opcodes_of(
+        params,
+        size,
+        {
+            "apply": lambda: directories[0].apply(raw),
+            "handle": lambda: relays[0].handle(NOW_MS, [event]),
+            "again_handle": lambda: relays[0].handle(NOW_MS, [event]),
+        },
+    )
+    timed = {
+        "parse_us": cpu_us(lambda n: json.loads(answer)),
+        "apply_us": cpu_us(lambda n: directories[0].apply(raw), fresh),
+    }
     timed["handle_us"] = cpu_us(lambda n: relays[0].handle(NOW_MS, [event]), fresh)
     timed["again_handle_us"] = cpu_us(lambda n: relays[0].handle(NOW_MS, [event]))
     fresh(0)
@@ -242,8 +279,12 @@
         held, peak = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
-    timed |= {"directory_bytes": float(directory_bytes), "relay_bytes": float(held - directory_bytes),
-              "kept_bytes": float(held), "peak_bytes": float(peak)}
+    timed |= {
+        "directory_bytes": float(directory_bytes),
+        "relay_bytes": float(held - directory_bytes),
+        "kept_bytes": float(held),
+        "peak_bytes": float(peak),
+    }
     return Sample(counted, timed)
 
 
@@ -295,8 +336,11 @@
             self.next()
             counted = {"change_bytes": float(len(self.answer))}
             counted |= opcodes_of(params, size, {"apply": self.apply, "host": host_part, "handle": self.turn})
-            timed = {"apply_us": cpu_us(self.apply, self.next), "host_us": cpu_us(host_part, self.applied),
-                     "handle_us": cpu_us(self.turn, self.applied)}
+            timed = {
+                "apply_us": cpu_us(self.apply, self.next),
+                "host_us": cpu_us(host_part, self.applied),
+                "handle_us": cpu_us(self.turn, self.applied),
+            }
         timed["turn_us"] = sum(timed.values())
         return Sample(counted, timed)
 
@@ -335,7 +379,7 @@
 def share(fleet: Fleet, part: float | int) -> list[int]:
     """So many of the destinations (a whole number), or such a part of them, drawn."""
     count = part if isinstance(part, int) else round(part * fleet.destinations)
-    drawn = fleet.rng.permutation(fleet.destinations)[:min(count, fleet.destinations)]
+    drawn = fleet.rng.permutation(fleet.destinations)[: min(count, fleet.destinations)]
     return [Fleet.destination(int(n)) for n in drawn]
 
 
@@ -380,8 +424,11 @@
     """A turn without an event while messages for `size` destinations wait: none of their queues is due to be
     looked at (`turn_us`), or all are (`look_us`); and all turns of a second of the relay's clock in which
     nothing happens (`second_us`), which are as many as the module asks for (`turns_per_s`)."""
-    fleet = Fleet(int(size * params.get("endpoints_each", ENDPOINTS_EACH)), seed,
-                  float(params.get("endpoints_each", ENDPOINTS_EACH)))
+    fleet = Fleet(
+        int(size * params.get("endpoints_each", ENDPOINTS_EACH)),
+        seed,
+        float(params.get("endpoints_each", ENDPOINTS_EACH)),
+    )
     _, relay = told(fleet)
     with_waiting(relay, share(fleet, size))
     clock = [NOW_MS + 1.0]
@@ -418,8 +465,10 @@
     _, relay = told(fleet, hold=hold)
     dests = share(fleet, queues)
     with_waiting(relay, dests)
-    messages = [api.Message(n, dests[int(fleet.rng.integers(queues))], 0, DEADLINE_MS)
-                for n in range(1, int(CROWDED * hold) - len(relay.board.held) + 1)]
+    messages = [
+        api.Message(n, dests[int(fleet.rng.integers(queues))], 0, DEADLINE_MS)
+        for n in range(1, int(CROWDED * hold) - len(relay.board.held) + 1)
+    ]
     relay.handle(NOW_MS, list(messages))
     held, now = len(relay.board.held), NOW_MS
 
@@ -435,8 +484,17 @@
 
 
 def an_entry(n: int, seed: int, body_bytes: int) -> Entry:
-    return Entry(f"{seed:04x}-{n:012x}", "safe", "tenant", n % QUEUES + 1, None, SINCE, DUE, "",
-                 (n.to_bytes(8, "big") * (body_bytes // 8 + 1))[:body_bytes])
+    return Entry(
+        f"{seed:04x}-{n:012x}",
+        "safe",
+        "tenant",
+        n % QUEUES + 1,
+        None,
+        SINCE,
+        DUE,
+        "",
+        (n.to_bytes(8, "big") * (body_bytes // 8 + 1))[:body_bytes],
+    )
 
 
 def body_bytes(params: Params) -> int:
@@ -453,8 +511,10 @@
     """Memory of `size` messages held, by the module alone and by the whole process (with the body, what the
     client said and the journal's index), and the bytes that they take in the state folder. `body_bytes` of
     each body: 300 unless given."""
+
     async def in_host() -> tuple[int, int]:
         async with idle_host(seed, wide(size, params)) as host:
+
             def take() -> None:
                 for n in range(size):
                     entry = an_entry(n, seed, body_bytes(params))
@@ -468,12 +528,20 @@
             return taken, host.journal.size
 
     relay = Relay(settings_of(), seed)
-    _, in_module = memory_bytes(lambda: relay.handle(NOW_MS, [
-        api.Message(n, n % QUEUES + 1, 0, DEADLINE_MS) for n in range(size)]))
+    _, in_module = memory_bytes(
+        lambda: relay.handle(NOW_MS, [api.Message(n, n % QUEUES + 1, 0, DEADLINE_MS) for n in range(size)])
+    )
     taken, folder = asyncio.run(in_host())
     counted = {"folder_bytes": float(folder), "message_folder_bytes": folder / size}
-    return Sample(counted, {"module_bytes": float(in_module), "process_bytes": float(taken),
-                            "message_process_bytes": taken / size, "message_module_bytes": in_module / size})
+    return Sample(
+        counted,
+        {
+            "module_bytes": float(in_module),
+            "process_bytes": float(taken),
+            "message_process_bytes": taken / size,
+            "message_module_bytes": in_module / size,
+        },
+    )
 
 
 def filled(folder: Path, params: Params, size: int, seed: int) -> Journal:
@@ -505,9 +573,11 @@
         life(0)
         counted["life_bytes"] = float(journal.size - before)
         counted |= opcodes_of(params, size, {"life": lambda: life(1), "tidy": lambda: journal.tidy(SINCE)})
-        timed = {"tidy_us": cpu_us(lambda n: journal.tidy(SINCE)),  # first: the others make it hold more
-                 "life_us": cpu_us(lambda n: life(n + 2)),
-                 "take_us": cpu_us(lambda n: journal.take(fresh[MOST_TIMES + 2 + n]))}
+        timed = {
+            "tidy_us": cpu_us(lambda n: journal.tidy(SINCE)),  # first: the others make it hold more
+            "life_us": cpu_us(lambda n: life(n + 2)),
+            "take_us": cpu_us(lambda n: journal.take(fresh[MOST_TIMES + 2 + n])),
+        }
         journal.close()
         return Sample(counted, timed)
 
@@ -543,8 +613,15 @@
     learned = relay.known()
 
     def records() -> list[dict[str, Any]]:
-        return [{"k": "lane", "dest": each.destination, "ep": "",
-                 "told": [[name, value] for name, value in each.figures]} for each in learned]
+        return [
+            {
+                "k": "lane",
+                "dest": each.destination,
+                "ep": "",
+                "told": [[name, value] for name, value in each.figures],
+            }
+            for each in learned
+        ]
 
     said = sum(len(encode(record)) for record in records())
     with tempfile.TemporaryDirectory() as name:
--- a/linnetstile/emulator/process_measures.py
+++ b/linnetstile/emulator/process_measures.py
@@ -26,7 +26,12 @@
 BODY_BYTES, ANSWER_BYTES = 300, 64 * 1024
 LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
 SETTINGS: dict[str, Any] = {
-    "az": 0, "balancers": 1, "zones": ["a"], "kinds": ["k"], "tick-ms": 5.0, "weight-kind": "nominal",
+    "az": 0,
+    "balancers": 1,
+    "zones": ["a"],
+    "kinds": ["k"],
+    "tick-ms": 5.0,
+    "weight-kind": "nominal",
     "classes": [{"name": "safe", "effect": "repeatable", "aim-ms": 4000.0, "deadline-ms": 60_000.0}],
     "extra": {"call-slots": 64, "loses-worth": "halves"},
     "limits": {"open-cap": 4000, "try-limit": 8, "conn-idle-ms": 10_000.0, "connect-timeout-ms": 1500.0},
@@ -105,16 +110,42 @@
 
     async def start(self) -> subprocess.Popen[bytes]:
         agent_at, endpoint_at = await self.listen(agent), await self.listen(self.endpoint)
-        known = {"generation": 1, "reset": True, "instances": [
-            {"instanceId": "cell-1", "hostPort": endpoint_at, "zone": "a", "machineType": "k", "cell": 7,
-             "lifecycle": "ready", "weight": 100_000.0, "startedAtMs": 0}]}
+        known = {
+            "generation": 1,
+            "reset": True,
+            "instances": [
+                {
+                    "instanceId": "cell-1",
+                    "hostPort": endpoint_at,
+                    "zone": "a",
+                    "machineType": "k",
+                    "cell": 7,
+                    "lifecycle": "ready",
+                    "weight": 100_000.0,
+                    "startedAtMs": 0,
+                }
+            ],
+        }
         (self.folder / "state").mkdir()
-        (self.folder / "config.json").write_text(json.dumps({
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": agent_at, "seed": "1",
-            "state": str(self.folder / "state"), "known": known, "settings": SETTINGS}))
+        (self.folder / "config.json").write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": f"127.0.0.1:{self.port}",
+                    "discovery": agent_at,
+                    "seed": "1",
+                    "state": str(self.folder / "state"),
+                    "known": known,
+                    "settings": SETTINGS,
+                }
+            )
+        )
         env = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
-        return subprocess.Popen([sys.executable, "-m", "linnetstile"], stderr=subprocess.DEVNULL,
-                                env={**env, "RELAY_CONFIG": str(self.folder / "config.json")})
+        return subprocess.Popen(
+            [sys.executable, "-m", "linnetstile"],
+            stderr=subprocess.DEVNULL,
+            env={**env, "RELAY_CONFIG": str(self.folder / "config.json")},
+        )
 
     async def ready(self) -> None:
         """Once the process takes clients; RuntimeError if it never does."""
@@ -131,9 +162,19 @@
         usable = [link for link in self.idle if link.usable]
         link = usable[-1] if usable else await Link.open(("127.0.0.1", self.port), ANSWER_BYTES)
         self.idle = usable[:-1]
-        head, _ = await link.ask("POST", "/safe", [
-            ("Host", "origin"), ("X-Trace-Id", f"m{n}"), ("X-Qos", "safe"), ("X-Customer", "t"),
-            ("X-Expires-In-Ms", "60000"), ("X-Addressing", "dest=7")], b"x" * BODY_BYTES)
+        head, _ = await link.ask(
+            "POST",
+            "/safe",
+            [
+                ("Host", "origin"),
+                ("X-Trace-Id", f"m{n}"),
+                ("X-Qos", "safe"),
+                ("X-Customer", "t"),
+                ("X-Expires-In-Ms", "60000"),
+                ("X-Addressing", "dest=7"),
+            ],
+            b"x" * BODY_BYTES,
+        )
         if head.status != 202:
             raise RuntimeError(f"event {n} was answered {head.status}")
         self.idle.append(link)
--- a/linnetstile/emulator/report.py
+++ b/linnetstile/emulator/report.py
@@ -85,8 +85,19 @@
     return f"{value:,.0f}" if abs(float(short)) >= 1000 else short
 
 
-HEADS = ("figure", "size", "median", "spread", "slope x size", "residual", "exponent", "shape", "at target",
-         "limit", "verdict")
+HEADS = (
+    "figure",
+    "size",
+    "median",
+    "spread",
+    "slope x size",
+    "residual",
+    "exponent",
+    "shape",
+    "at target",
+    "limit",
+    "verdict",
+)
 
 
 def cells(finding: Finding) -> list[list[str]]:
@@ -94,8 +105,10 @@
     blank = [""] * (len(HEADS) - 4)
     if finding.missing and not finding.rows:
         return [[finding.fit.metric, "", "no run gave it", "", *blank]]
-    found = [[finding.fit.metric, f"{row.size:,}", number(row.middle), f"{row.spread:.0%}", *blank]
-             for row in finding.rows]
+    found = [
+        [finding.fit.metric, f"{row.size:,}", number(row.middle), f"{row.spread:.0%}", *blank]
+        for row in finding.rows
+    ]
     fit, fitted, power, at_target = finding.fit, finding.line, finding.exponent, finding.at_target
     if fitted is None:
         return found
@@ -103,9 +116,14 @@
     sign = "+" if fitted.intercept >= 0 else "-"
     limit = "" if fit.limit is None else number(fit.limit)
     found[-1][4:] = [
-        f"{fitted.slope:.4g} x size {sign} {abs(fitted.intercept):.4g}", f"{fitted.residual:.1%}",
-        "" if power is None else f"{power.value:.2f} +- {power.standard_error:.2f}", shape,
-        "" if at_target is None else number(at_target), limit, finding.verdict]
+        f"{fitted.slope:.4g} x size {sign} {abs(fitted.intercept):.4g}",
+        f"{fitted.residual:.1%}",
+        "" if power is None else f"{power.value:.2f} +- {power.standard_error:.2f}",
+        shape,
+        "" if at_target is None else number(at_target),
+        limit,
+        finding.verdict,
+    ]
     return found
 
 
@@ -116,8 +134,11 @@
         said.append("A look: its sizes or seeds are not those of the experiment's file.")
     ranges = {(each.line.smallest, each.line.largest) for each in found if each.line is not None}
     for smallest, largest in sorted(ranges):
-        of = [each.fit.metric for each in found
-              if each.line and (each.line.smallest, each.line.largest) == (smallest, largest)]
+        of = [
+            each.fit.metric
+            for each in found
+            if each.line and (each.line.smallest, each.line.largest) == (smallest, largest)
+        ]
         target = next((each.target for each in found if each.target), None)
         to = f", extrapolated along the line to {target:,}" if target else ""
         said.append(f"Measured over {smallest:,} to {largest:,} ({experiment.vary}){to}: {', '.join(of)}.")
@@ -130,9 +151,13 @@
 
 def text_table(lines: list[list[str]]) -> list[str]:
     widths = [max(len(line[n]) for line in lines) for n in range(len(lines[0]))]
-    return ["  ".join(cell.ljust(width) if n == 0 else cell.rjust(width)
-                      for n, (cell, width) in enumerate(zip(line, widths, strict=True))).rstrip()
-            for line in lines]
+    return [
+        "  ".join(
+            cell.ljust(width) if n == 0 else cell.rjust(width)
+            for n, (cell, width) in enumerate(zip(line, widths, strict=True))
+        ).rstrip()
+        for line in lines
+    ]
 
 
 def markdown_table(lines: list[list[str]]) -> list[str]:
@@ -140,8 +165,9 @@
     return [body[0], "|" + "---|" * len(lines[0]), *body[1:]]
 
 
-def table(experiment: Experiment, runs: Sequence[Run], target: int | None = None,
-          markdown: bool = False) -> str:
+def table(
+    experiment: Experiment, runs: Sequence[Run], target: int | None = None, markdown: bool = False
+) -> str:
     """The whole report of one experiment."""
     found = findings(experiment, runs, target)
     lines = [list(HEADS)] + [line for finding in found for line in cells(finding)]
--- a/linnetstile/emulator/runs.py
+++ b/linnetstile/emulator/runs.py
@@ -39,8 +39,13 @@
 
     def counted_line(self) -> dict[str, Any]:
         said = {"error": self.error} if self.error else {}
-        return {"size": self.size, "seed": self.seed, "counted": dict(self.counted),
-                "histograms": dict(self.histograms), **said}
+        return {
+            "size": self.size,
+            "seed": self.seed,
+            "counted": dict(self.counted),
+            "histograms": dict(self.histograms),
+            **said,
+        }
 
     def timed_line(self) -> dict[str, Any]:
         return {"size": self.size, "seed": self.seed, "timed": dict(self.timed)}
@@ -59,19 +64,39 @@
 def environment() -> dict[str, str]:
     """Of a run's process: this very package, one order of its hashes, and one thread for arithmetic."""
     paths = [str(ROOT), *(path for path in [os.environ.get("PYTHONPATH")] if path)]
-    return {**os.environ, "PYTHONPATH": os.pathsep.join(paths), "PYTHONHASHSEED": "0", "OMP_NUM_THREADS": "1",
-            "OPENBLAS_NUM_THREADS": "1"}
+    return {
+        **os.environ,
+        "PYTHONPATH": os.pathsep.join(paths),
+        "PYTHONHASHSEED": "0",
+        "OMP_NUM_THREADS": "1",
+        "OPENBLAS_NUM_THREADS": "1",
+    }
 
 
 def run_once(experiment: Experiment, size: int, seed: int, modules: tuple[str, ...] = ()) -> Run:
     """In a fresh process, so that memory is that of this run alone."""
-    command = [sys.executable, "-m", "linnetstile.emulator", "run-one", experiment.measure, str(size),
-               str(seed), "--params", dumps(experiment.params)]
+    command = [
+        sys.executable,
+        "-m",
+        "linnetstile.emulator",
+        "run-one",
+        experiment.measure,
+        str(size),
+        str(seed),
+        "--params",
+        dumps(experiment.params),
+    ]
     for module in modules:
         command += ["--import", module]
     try:
-        done = subprocess.run(command, capture_output=True, text=True, timeout=experiment.timeout_s,
-                              env=environment(), stdin=subprocess.DEVNULL)
+        done = subprocess.run(
+            command,
+            capture_output=True,
+            text=True,
+            timeout=experiment.timeout_s,
+            env=environment(),
+            stdin=subprocess.DEVNULL,
+        )
     except subprocess.TimeoutExpired as error:
         return Run(size, seed, error=f"not done within {error.timeout:g} s")
     if done.returncode:
@@ -83,8 +108,9 @@
         return Run(size, seed, error=f"printed no sample: {error}")
 
 
-def runs(experiment: Experiment, jobs: int | None, modules: tuple[str, ...],
-         say: Callable[[str], None]) -> Iterator[Run]:
+def runs(
+    experiment: Experiment, jobs: int | None, modules: tuple[str, ...], say: Callable[[str], None]
+) -> Iterator[Run]:
     """All runs in the order of sizes and seeds. Timed ones go one at a time, whatever `jobs` says."""
     end = time.monotonic() + experiment.total_timeout_s
 
@@ -106,8 +132,13 @@
     return folder / f"{name}.jsonl", folder / f"{name}.timed.jsonl"
 
 
-def run_into(folder: Path, experiment: Experiment, jobs: int | None, modules: tuple[str, ...],
-             say: Callable[[str], None]) -> list[Run]:
+def run_into(
+    folder: Path,
+    experiment: Experiment,
+    jobs: int | None,
+    modules: tuple[str, ...],
+    say: Callable[[str], None],
+) -> list[Run]:
     """Runs it all, and writes each line as soon as its turn has come."""
     folder.mkdir(parents=True, exist_ok=True)
     done: list[Run] = []
@@ -146,5 +177,13 @@
     timed = lines_of(beside)[1] if beside != path and beside.exists() else []
     times = {(each["size"], each["seed"]): each.get("timed", {}) for each in timed}
     return experiment, [
-        Run(each["size"], each["seed"], each.get("counted", {}), times.get((each["size"], each["seed"]), {}),
-            each.get("histograms", {}), str(each.get("error", ""))) for each in lines]
+        Run(
+            each["size"],
+            each["seed"],
+            each.get("counted", {}),
+            times.get((each["size"], each["seed"]), {}),
+            each.get("histograms", {}),
+            str(each.get("error", "")),
+        )
+        for each in lines
+    ]
--- a/linnetstile/interface.py
+++ b/linnetstile/interface.py
@@ -312,8 +312,21 @@
     why: ListDoubt
 
 
-Event = Union[EndpointList, ListUnconfirmed, Message, AttemptEnded, WaitTold, ProbeEnded, Withdrawn,
-              Overdue, TimerFired, Closing, Duty, Elsewhere, Learned]
+Event = Union[
+    EndpointList,
+    ListUnconfirmed,
+    Message,
+    AttemptEnded,
+    WaitTold,
+    ProbeEnded,
+    Withdrawn,
+    Overdue,
+    TimerFired,
+    Closing,
+    Duty,
+    Elsewhere,
+    Learned,
+]
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetstile/net/client_connection.py
+++ b/linnetstile/net/client_connection.py
@@ -113,8 +113,9 @@
     @property
     def idle(self) -> bool:
         """No request has begun."""
-        return self.request is None and not self.unfed and (
-            self.http is None or not self.http.trailing_data[0])
+        return (
+            self.request is None and not self.unfed and (self.http is None or not self.http.trailing_data[0])
+        )
 
     @property
     def unheard(self) -> bool:
@@ -240,8 +241,11 @@
                 if (fault := fault_of(head)) is not None:
                     self._end(fault)
                     return
-                self.request = Request(head.method.decode("ascii"),
-                                       origin_form(head.target.decode("latin-1")), named(head.headers))
+                self.request = Request(
+                    head.method.decode("ascii"),
+                    origin_form(head.target.decode("latin-1")),
+                    named(head.headers),
+                )
                 if http.they_are_waiting_for_100_continue:
                     self._send(h11.InformationalResponse(status_code=100, headers=[]))
             case h11.Data(data=chunk) if self.request is not None:
@@ -338,8 +342,9 @@
             headers.append(("Retry-After", f"{reply.retry_s:.3f}"))
         if self.last and not self.more:
             headers.append(("Connection", "close"))
-        self._send(h11.Response(status_code=reply.status, headers=headers), h11.Data(data=text),
-                   h11.EndOfMessage())
+        self._send(
+            h11.Response(status_code=reply.status, headers=headers), h11.Data(data=text), h11.EndOfMessage()
+        )
         if reply.accepted is not None:
             self._heard(reply.accepted)
 
--- a/linnetstile/net/client_request.py
+++ b/linnetstile/net/client_request.py
@@ -11,8 +11,19 @@
 
 BODY_BYTES = 64 * 1024
 # A message whose head says one of these twice has two meanings: ours and that of whoever reads it next.
-ONCE = frozenset(("host", "transfer-encoding", "idempotency-key", "x-addressing", "x-customer",
-                  "x-expires-in-ms", "x-qos", "x-second-try", "x-trace-id"))
+ONCE = frozenset(
+    (
+        "host",
+        "transfer-encoding",
+        "idempotency-key",
+        "x-addressing",
+        "x-customer",
+        "x-expires-in-ms",
+        "x-qos",
+        "x-second-try",
+        "x-trace-id",
+    )
+)
 REQUEST_LINE = re.compile(rb"[A-Z]+ \S+ HTTP/\d\.\d")
 REQUEST_LINE_SO_FAR = re.compile(rb"[A-Z]+(?: (?:\S+(?: [HTP/0-9.]*)?)?)?")
 
--- a/linnetstile/net/config.py
+++ b/linnetstile/net/config.py
@@ -49,8 +49,7 @@
         raise ConfigError("RELAY_CONFIG is not set")
     try:
         raw = json.loads(Path(path).read_text())
-        told = {key: env.get(f"RELAY_{key.upper()}") or raw.get(key) for key in
-                ("name", "listen", "state")}
+        told = {key: env.get(f"RELAY_{key.upper()}") or raw.get(key) for key in ("name", "listen", "state")}
         told["discovery"] = raw.get("discovery") or env.get("RELAY_DISCOVERY")
         missing = [key for key, value in told.items() if not value]
         if missing:
@@ -58,12 +57,17 @@
         limits = raw.get("limits", {})
         mgmt = env.get("RELAY_MGMT") or raw.get("mgmt")
         return Config(
-            name=str(told["name"]), listen=address(told["listen"]), discovery=address(told["discovery"]),
-            state=Path(str(told["state"])), seed=int(str(raw.get("seed", "0")), 16),
+            name=str(told["name"]),
+            listen=address(told["listen"]),
+            discovery=address(told["discovery"]),
+            state=Path(str(told["state"])),
+            seed=int(str(raw.get("seed", "0")), 16),
             sockets=min(1024, int(limits.get("sockets", 1024))),
             disk_bytes=int(float(limits.get("disk_mb", 3)) * 1e6),
-            known=dict(raw.get("known") or {}), settings=settings_from(json.dumps(raw["settings"])),
-            zones=tuple(raw["settings"].get("zones", ())), mgmt=address(mgmt) if mgmt else None,
+            known=dict(raw.get("known") or {}),
+            settings=settings_from(json.dumps(raw["settings"])),
+            zones=tuple(raw["settings"].get("zones", ())),
+            mgmt=address(mgmt) if mgmt else None,
         )
     except OSError as error:
         raise ConfigError(f"RELAY_CONFIG: {error}") from error
--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -137,10 +137,12 @@
         if not 0 <= rate < 1e9:
             raise ValueError(f"{name}: weight {rate} makes no sense")
         entry = Endpoint(
-            id=self.number(name), destination=int(item["cell"]),
+            id=self.number(name),
+            destination=int(item["cell"]),
             listing=LISTINGS.get(item["lifecycle"], Listing.DRAINING),
             kind=self.kinds.index(kind) if kind in self.kinds else 0,
-            zone=self.zone(item.get("zone")), rate=rate,
+            zone=self.zone(item.get("zone")),
+            rate=rate,
         )
         return Known(name, entry, address(item["hostPort"]))
 
@@ -148,15 +150,22 @@
 def names_of(known: dict[str, Any]) -> set[str]:
     """The endpoints of a list in discovery's form, as far as it can be read."""
     items = known.get("instances")
-    return {str(item.get("instanceId")) for item in items if isinstance(item, dict)} if isinstance(
-        items, list) else set()
+    return (
+        {str(item.get("instanceId")) for item in items if isinstance(item, dict)}
+        if isinstance(items, list)
+        else set()
+    )
 
 
 class Watch:
     """Keeps the directory current; what fails keeps the version, so that nothing is missed."""
 
     def __init__(
-        self, agent: Agent, directory: Directory, told: Callable[[EndpointList], None], relays: int = 1,
+        self,
+        agent: Agent,
+        directory: Directory,
+        told: Callable[[EndpointList], None],
+        relays: int = 1,
         pushed: bool = False,
     ) -> None:
         self.agent, self.directory, self.told = agent, directory, told
--- a/linnetstile/net/egress.py
+++ b/linnetstile/net/egress.py
@@ -136,9 +136,13 @@
             return Answer(Outcome.ERROR)
 
 
-FATES = {"delivered": Answer(Outcome.OK, over=True), "failed": Answer(Outcome.ERROR),
-         "refused": Answer(Outcome.FULL), "over": Answer(Outcome.NOT_SENT, over=True),
-         "spent": Answer(Outcome.NOT_SENT)}
+FATES = {
+    "delivered": Answer(Outcome.OK, over=True),
+    "failed": Answer(Outcome.ERROR),
+    "refused": Answer(Outcome.FULL),
+    "over": Answer(Outcome.NOT_SENT, over=True),
+    "spent": Answer(Outcome.NOT_SENT),
+}
 
 
 def answers_of(head: Head, body: bytes, sent: list[str]) -> dict[str, Answer]:
@@ -146,8 +150,11 @@
     an answer about others belongs to another call."""
     wait = wait_of(head)
     lines = [line.split() for line in body.decode("latin-1").splitlines()]
-    told = {line[0]: replace(FATES[line[1]], wait_ms=wait) for line in lines
-            if len(line) == 2 and line[1] in FATES}
+    told = {
+        line[0]: replace(FATES[line[1]], wait_ms=wait)
+        for line in lines
+        if len(line) == 2 and line[1] in FATES
+    }
     return told if names_only(told, sent) else {}
 
 
@@ -181,8 +188,13 @@
 
 class Egress:
     def __init__(
-        self, idle_ms: float, connect_timeout_ms: float, most_idle: int, most_ending: int = 16,
-        report_fields: tuple[str, ...] = (), written: Callable[[list[Call]], None] = lambda calls: None,
+        self,
+        idle_ms: float,
+        connect_timeout_ms: float,
+        most_idle: int,
+        most_ending: int = 16,
+        report_fields: tuple[str, ...] = (),
+        written: Callable[[list[Call]], None] = lambda calls: None,
     ) -> None:
         self.written = written  # told of each message whose call's last byte is out
         self.report_fields = report_fields
@@ -206,8 +218,12 @@
         trip = Trip()
         answer, each = await self._together(calls, trip)
         kept = None if trip.link is None else trip.link.calls > 1
-        return [replace(each.get(call.trace_id, answer), kept=kept) if call in trip.sent or not trip.sent
-                else UNSENT for call in calls]
+        return [
+            replace(each.get(call.trace_id, answer), kept=kept)
+            if call in trip.sent or not trip.sent
+            else UNSENT
+            for call in calls
+        ]
 
     async def _together(self, calls: list[Call], trip: Trip) -> tuple[Answer, dict[str, Answer]]:
         """How all fared that were sent, and those that the answer names. Giving up closes the connection,
@@ -224,8 +240,12 @@
                     # then only the whole answer tells.
                     answer = Answer(Outcome.OK, over=True)
                     if len(trip.sent) > 1:
-                        answer, each = Answer(Outcome.ERROR), answers_of(
-                            await link.head, await link.whole, [call.trace_id for call in trip.sent])
+                        answer, each = (
+                            Answer(Outcome.ERROR),
+                            answers_of(
+                                await link.head, await link.whole, [call.trace_id for call in trip.sent]
+                            ),
+                        )
                 else:
                     one = len(trip.sent) == 1
                     answer = answer_of(await link.head) if one else answer_of_all(await link.head)
@@ -402,8 +422,9 @@
             link.close()
             return
         if sum(map(len, self.idle.values())) >= self.most_idle:
-            oldest = min((at for at, links in self.idle.items() if links),
-                         key=lambda at: self.idle[at][0].idle_since)
+            oldest = min(
+                (at for at, links in self.idle.items() if links), key=lambda at: self.idle[at][0].idle_since
+            )
             self.idle[oldest].pop(0).close()
         self.idle.setdefault(key, []).append(link)
 
--- a/linnetstile/net/figures.py
+++ b/linnetstile/net/figures.py
@@ -37,7 +37,9 @@
     def text(self) -> str:
         lines = [f"{PREFIX}.{name}:{value}|c\n" for name, value in self.counts.items()]
         lines += [f"{PREFIX}.{name}:{value}|g\n" for name, value in self.gauges.items()]
-        lines += [f"{PREFIX}.unsolicited.{peer}.{position}:{count}|c\n"
-                  for (peer, position), count in self.unsolicited.items()]
+        lines += [
+            f"{PREFIX}.unsolicited.{peer}.{position}:{count}|c\n"
+            for (peer, position), count in self.unsolicited.items()
+        ]
         lines += [f"{PREFIX}.breaches.{rule}:{count}|c\n" for rule, count in self.invariants.breaches.items()]
         return "".join(lines)
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -93,8 +93,14 @@
         self.dests: dict[int, float] = {}  # destinations that are known though none is listed: until when
         self.figures = Figures(self.classes, self.invariants)
         self.checks = RuntimeChecks(config.settings, self.journal, self.directory, self.figures)
-        self.egress = Egress(config.settings.idle_ms, config.settings.connect_timeout_ms, 1, 1,
-                             config.settings.report_fields, self.checks.call_written)
+        self.egress = Egress(
+            config.settings.idle_ms,
+            config.settings.connect_timeout_ms,
+            1,
+            1,
+            config.settings.report_fields,
+            self.checks.call_written,
+        )
         self.egress.on_unsolicited = partial(self.checks.unsolicited, Peer.ENDPOINT)
         self.egress.on_answer = partial(self.checks.answer, Peer.ENDPOINT)
         self.untold: dict[str, Entry] = {}  # ended, but not on file yet: told by their time at the latest
@@ -103,13 +109,19 @@
         self.stopping = False
         self.door: Door | None = None
         self.loop: asyncio.AbstractEventLoop | None = None
-        self.replacement = Replacement(self.journal, self.relay, self.directory, self._turn_now,
-                                       self._take_up, self._withdrawn)
+        self.replacement = Replacement(
+            self.journal, self.relay, self.directory, self._turn_now, self._take_up, self._withdrawn
+        )
         self.linked = api.Mode.CALLS
         self._share()
         self.news = asyncio.Event()  # discovery has told something
-        self.watch = Watch(self._agent(Peer.DISCOVERY), self.directory, self.told_by_discovery,
-                           config.settings.relays, not config.settings.ask_for_list)
+        self.watch = Watch(
+            self._agent(Peer.DISCOVERY),
+            self.directory,
+            self.told_by_discovery,
+            config.settings.relays,
+            not config.settings.ask_for_list,
+        )
         self.notices = Notices(self._agent(Peer.OUTCOMES), self.noticed)
         self.tasks = Tasks()
         self.watchdog = Watchdog(self._look_at)
@@ -143,12 +155,14 @@
     async def start(self) -> None:
         self.loop = asyncio.get_running_loop()
         if self.config.mgmt is not None:
-            self.door = Door({
-                "/-/ready": Ask("GET", self._tell_ready),
-                "/-/metrics": Ask("GET", lambda: Told(200, self.figures.text())),
-                "/-/drain": Ask("POST", lambda: self.drain(True)),
-                "/-/resume": Ask("POST", lambda: self.drain(False)),
-            })
+            self.door = Door(
+                {
+                    "/-/ready": Ask("GET", self._tell_ready),
+                    "/-/metrics": Ask("GET", lambda: Told(200, self.figures.text())),
+                    "/-/drain": Ask("POST", lambda: self.drain(True)),
+                    "/-/resume": Ask("POST", lambda: self.drain(False)),
+                }
+            )
             self.door.open(self.config.mgmt)
         if self.config.known:
             try:
@@ -216,12 +230,14 @@
         self.ingress.stop()
         while (self.held or not self.ingress.quit) and loop.time() < begun + CALLS_END_S + 0.1:
             await asyncio.sleep(LOOK_S)
-        while ((self.notices.waiting or self.untold or self.journal.waiting or not self.ingress.quit)
-               and loop.time() < begun + GONE_S):
+        while (
+            self.notices.waiting or self.untold or self.journal.waiting or not self.ingress.quit
+        ) and loop.time() < begun + GONE_S:
             self.ingress.hang_up()
             await asyncio.sleep(LOOK_S)
-        log.info("%d messages and %d notices are left to the journal", len(self.held),
-                 len(self.notices.waiting))
+        log.info(
+            "%d messages and %d notices are left to the journal", len(self.held), len(self.notices.waiting)
+        )
         await self.close()
 
     async def close(self) -> None:
@@ -291,16 +307,28 @@
             self._end(entry, "failed")  # the settings no longer know its class
         elif not entry.end:
             risk = entry.risk
-            log.info("message %s for %d: taken up %.0f ms after it came, %.0f ms left, %d tries%s", entry.id,
-                     entry.dest, now - entry.since, entry.due - now, entry.tries,
-                     "" if risk is None else ", one unclear")
+            log.info(
+                "message %s for %d: taken up %.0f ms after it came, %.0f ms left, %d tries%s",
+                entry.id,
+                entry.dest,
+                now - entry.since,
+                entry.due - now,
+                entry.tries,
+                "" if risk is None else ", one unclear",
+            )
             self.dests[entry.dest] = self.now() + DEST_MS
             self.found.add(entry.id)
-            self._hold(entry, age_ms=max(0.0, now - entry.since), tries=entry.tries,
-                       risk_age_ms=None if risk is None else max(0.0, now - risk.at),
-                       risk=None if risk is None else api.Endpoint(
-                           self.directory.number(risk.endpoint), entry.dest, api.Listing.READY,
-                           zone=risk.zone))
+            self._hold(
+                entry,
+                age_ms=max(0.0, now - entry.since),
+                tries=entry.tries,
+                risk_age_ms=None if risk is None else max(0.0, now - risk.at),
+                risk=None
+                if risk is None
+                else api.Endpoint(
+                    self.directory.number(risk.endpoint), entry.dest, api.Listing.READY, zone=risk.zone
+                ),
+            )
 
     # -- a second process --------------------------------------------------------------------------------
 
@@ -349,9 +377,12 @@
         if held is None or not isinstance(event, api.Message):
             return event
         since = event.left_ms - (held.entry.due - clock.now_ms())
-        return replace(event, left_ms=event.left_ms - since,
-                       age_ms=None if event.age_ms is None else event.age_ms + since,
-                       risk_age_ms=None if event.risk_age_ms is None else event.risk_age_ms + since)
+        return replace(
+            event,
+            left_ms=event.left_ms - since,
+            age_ms=None if event.age_ms is None else event.age_ms + since,
+            risk_age_ms=None if event.risk_age_ms is None else event.risk_age_ms + since,
+        )
 
     def _withdrawn(self, ident: str) -> None:
         """Its client gave it up at the other process, which had handed it over."""
@@ -375,9 +406,17 @@
 
     def _tell_state(self) -> None:
         """What to compare a good stretch with a bad one by."""
-        traffic.info("%d held of %d, %d calls out of %d, %d turns took %.0f ms, %d clients, journal %d bytes",
-                 len(self.held), self.settings.hold, self.relay.busy, self.settings.slots, self.turns,
-                 self.turns_ms, len(self.ingress.connections), self.journal.size)
+        traffic.info(
+            "%d held of %d, %d calls out of %d, %d turns took %.0f ms, %d clients, journal %d bytes",
+            len(self.held),
+            self.settings.hold,
+            self.relay.busy,
+            self.settings.slots,
+            self.turns,
+            self.turns_ms,
+            len(self.ingress.connections),
+            self.journal.size,
+        )
         self.turns, self.turns_ms = 0, 0.0
         for dest, queue in self.relay.board.queues.items():
             lanes = [str(lane) for lane in self.relay.lanes.get(dest, {}).values()]
@@ -494,8 +533,11 @@
     def told_by_discovery(self, event: api.EndpointList) -> None:
         self.news.set()
         if event.entries or event.kind is api.ListKind.WHOLE:
-            ready = {name for name, known in self.directory.by_name.items()
-                     if known.entry.listing is api.Listing.READY}
+            ready = {
+                name
+                for name, known in self.directory.by_name.items()
+                if known.entry.listing is api.Listing.READY
+            }
             self._journal(lambda: self.journal.says_unlisted(self.configured - ready))
         self.listed(event)
 
@@ -510,8 +552,12 @@
     def _is_listed(self, key: tuple[int, Address]) -> bool:
         """Whether this process may go on with a connection to that endpoint."""
         known = self.directory.by_number.get(key[0])
-        return (self.linked is not api.Mode.HANDS_OVER and known is not None and known.address == key[1]
-                and known.entry.listing is api.Listing.READY)
+        return (
+            self.linked is not api.Mode.HANDS_OVER
+            and known is not None
+            and known.address == key[1]
+            and known.entry.listing is api.Listing.READY
+        )
 
     # -- messages ----------------------------------------------------------------------------------------
 
@@ -543,25 +589,48 @@
             log.warning("refused a message: %s", error)
             self.figures.ended(entry.class_, "returned")
             return Reply(503, str(error), retry_s=RETRY_S)
-        traffic.debug("message %s for %d: taken on, %.0f ms left, key %s%s", entry.id, entry.dest,
-                 entry.due - entry.since, entry.key, ", second try " * bool(entry.again) + entry.again)
+        traffic.debug(
+            "message %s for %d: taken on, %.0f ms left, key %s%s",
+            entry.id,
+            entry.dest,
+            entry.due - entry.since,
+            entry.key,
+            ", second try " * bool(entry.again) + entry.again,
+        )
         self.invariants.check(Rule.ACCEPTED_ON_FILE, not self.journal.waiting, entry.id)
         self._hold(entry)
         return Reply(202, accepted=entry.id)
 
-    def _hold(self, entry: Entry, age_ms: float | None = None, tries: int = 0,
-              risk_age_ms: float | None = None, risk: api.Endpoint | None = None) -> None:
+    def _hold(
+        self,
+        entry: Entry,
+        age_ms: float | None = None,
+        tries: int = 0,
+        risk_age_ms: float | None = None,
+        risk: api.Endpoint | None = None,
+    ) -> None:
         self.last_number += 1
         held = self.held[self.last_number] = Held(entry)
         held.history.add("accepted" if age_ms is None else "taken up")
         self.watchdog.add(self.last_number, entry)
         self.figures.gauges["active"] = len(self.held)
         self.numbers[entry.id] = self.last_number
-        self._feed(api.Message(
-            self.last_number, entry.dest, self.classes[entry.class_], entry.due - clock.now_ms(),
-            self.tenants.get(entry.tenant, 0), size=self._size(entry), again=entry.again == "1",
-            from_dead_relay=entry.again == "again", age_ms=age_ms, tries=tries, risk_age_ms=risk_age_ms,
-            risk=risk))
+        self._feed(
+            api.Message(
+                self.last_number,
+                entry.dest,
+                self.classes[entry.class_],
+                entry.due - clock.now_ms(),
+                self.tenants.get(entry.tenant, 0),
+                size=self._size(entry),
+                again=entry.again == "1",
+                from_dead_relay=entry.again == "again",
+                age_ms=age_ms,
+                tries=tries,
+                risk_age_ms=risk_age_ms,
+                risk=risk,
+            )
+        )
 
     def _size(self, entry: Entry) -> int:
         """Its part of a call of several. One whose id or key a line there cannot hold fills a call alone."""
@@ -597,9 +666,16 @@
             self._end(held.entry, state, after_ms, held.history)
 
     def _end(self, entry: Entry, state: str, after_ms: float = 0.0, history: History | None = None) -> None:
-        traffic.log(level_of(state in ("delivered", "over")),
-                    "message %s for %d: %s after %.0f ms, %d tries, come again in %.0f ms", entry.id,
-                    entry.dest, state, clock.now_ms() - entry.since, entry.tries, after_ms)
+        traffic.log(
+            level_of(state in ("delivered", "over")),
+            "message %s for %d: %s after %.0f ms, %d tries, come again in %.0f ms",
+            entry.id,
+            entry.dest,
+            state,
+            clock.now_ms() - entry.since,
+            entry.tries,
+            after_ms,
+        )
         self.invariants.check(Rule.ONE_END, not entry.end, f"{entry.id}: {entry.end}, then {state}")
         late_ms = clock.now_ms() - entry.due
         in_time = late_ms < LATE_MS or entry.id in self.found
@@ -650,20 +726,34 @@
         answers = [UNSENT] * len(group)
         try:
             if known is not None:
-                answers = await self.egress.together([Call(
-                    endpoint, known.address, held.entry.id, held.entry.key, held.entry.body, until / 1000,
-                    partial(self._may_write, number, held, endpoint),
-                    careful=self._effect(held.entry) is api.Effect.UNSAFE, class_=held.entry.class_,
-                    keep=keep, note=self._noted(held.entry, known.name, known.entry.zone),
-                    told_wait=partial(self._wait_told, number, held))
-                    for number, held in group])
+                answers = await self.egress.together(
+                    [
+                        Call(
+                            endpoint,
+                            known.address,
+                            held.entry.id,
+                            held.entry.key,
+                            held.entry.body,
+                            until / 1000,
+                            partial(self._may_write, number, held, endpoint),
+                            careful=self._effect(held.entry) is api.Effect.UNSAFE,
+                            class_=held.entry.class_,
+                            keep=keep,
+                            note=self._noted(held.entry, known.name, known.entry.zone),
+                            told_wait=partial(self._wait_told, number, held),
+                        )
+                        for number, held in group
+                    ]
+                )
         except asyncio.CancelledError:
             answers = [Answer(api.Outcome.CANCELLED)] * len(group)  # by the module, or at the process's end
         except Exception:
             # A fault of ours must not leave the messages without an outcome.
             log.exception("a call failed")
-            answers = [Answer(api.Outcome.RESET if held.entry.out else api.Outcome.CONNECT_FAILED)
-                       for _, held in group]
+            answers = [
+                Answer(api.Outcome.RESET if held.entry.out else api.Outcome.CONNECT_FAILED)
+                for _, held in group
+            ]
         for (number, held), attempt, answer in zip(group, attempts, answers, strict=True):
             self._ended(number, held, attempt, endpoint, answer, self.now() - begun)
 
@@ -679,8 +769,12 @@
 
     def _wait_told(self, number: int, held: Held, wait_ms: float | None) -> None:
         """At once, not with the next turn: another call may be about to write its first byte."""
-        traffic.info("message %s for %d: its answer tells a wait of %s ms", held.entry.id, held.entry.dest,
-                 "..." if wait_ms is None else f"{wait_ms:.0f}")
+        traffic.info(
+            "message %s for %d: its answer tells a wait of %s ms",
+            held.entry.id,
+            held.entry.dest,
+            "..." if wait_ms is None else f"{wait_ms:.0f}",
+        )
         if not self.closed:
             self._turn_now([api.WaitTold(number, wait_ms)])
 
@@ -695,24 +789,49 @@
 
         return note
 
-    def _ended(self, number: int, held: Held, attempt: int, endpoint: int, answer: Answer,
-               took: float) -> None:
+    def _ended(
+        self, number: int, held: Held, attempt: int, endpoint: int, answer: Answer, took: float
+    ) -> None:
         entry, held.call = held.entry, None
         self.leaving.discard(entry.id)
         self.checks.call_ended(entry)
         held.history.add(answer.outcome.value, answer.on)
         told = " ".join(f"{value:.2f}" for value in answer.report)
-        traffic.log(level_of(answer.outcome is api.Outcome.OK),
-                    "message %s for %d: try %d at %d, %.0f ms after it came: %s after %.0f ms, "
-                    "wait %.0f ms, told %s%s",
-                    entry.id, entry.dest, attempt, endpoint, clock.now_ms() - entry.since - took,
-                    answer.outcome.value, took, answer.wait_ms, told, answer.on)
+        traffic.log(
+            level_of(answer.outcome is api.Outcome.OK),
+            "message %s for %d: try %d at %d, %.0f ms after it came: %s after %.0f ms, "
+            "wait %.0f ms, told %s%s",
+            entry.id,
+            entry.dest,
+            attempt,
+            endpoint,
+            clock.now_ms() - entry.since - took,
+            answer.outcome.value,
+            took,
+            answer.wait_ms,
+            told,
+            answer.on,
+        )
         if self.journal.entries.get(entry.id) is entry and not entry.end:  # the watchdog may have ended it
             if answer.over:
                 self._let_go(number)
-                self._end(entry, "delivered" if answer.outcome is api.Outcome.OK else "over", 0.0,
-                          held.history)
+                self._end(
+                    entry, "delivered" if answer.outcome is api.Outcome.OK else "over", 0.0, held.history
+                )
             elif entry.out is not None:
                 self._journal(lambda: self.journal.outcome(entry, not answer.outcome.proves_no_effect))
-        self._feed(api.AttemptEnded(number, attempt, endpoint, answer.outcome, took, answer.over,
-                                    answer.wait_ms, answer.no_slot, answer.report, answer.kept, answer.local))
+        self._feed(
+            api.AttemptEnded(
+                number,
+                attempt,
+                endpoint,
+                answer.outcome,
+                took,
+                answer.over,
+                answer.wait_ms,
+                answer.no_slot,
+                answer.report,
+                answer.kept,
+                answer.local,
+            )
+        )
--- a/linnetstile/net/intake.py
+++ b/linnetstile/net/intake.py
@@ -22,7 +22,10 @@
     """Form of a request: PROTOCOL, "Clients to relays"."""
 
     def __init__(
-        self, settings: Settings, classes: Mapping[str, int], tenants: Mapping[str, int],
+        self,
+        settings: Settings,
+        classes: Mapping[str, int],
+        tenants: Mapping[str, int],
         knows_destination: Callable[[int], bool],
     ) -> None:
         self.settings, self.classes, self.tenants = settings, classes, tenants
--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -23,8 +23,18 @@
 from .journal_file import JournalFile, lock, read_from
 from .records import Attempt, Entry, decode, encode, in_parts, progress, resumed, snapshot
 
-__all__ = ["BLOCK", "Attempt", "Entry", "Journal", "JournalError", "JournalFull", "Other", "decode", "encode",
-           "snapshot"]
+__all__ = [
+    "BLOCK",
+    "Attempt",
+    "Entry",
+    "Journal",
+    "JournalError",
+    "JournalFull",
+    "Other",
+    "decode",
+    "encode",
+    "snapshot",
+]
 
 log = logging.getLogger(__name__)
 
@@ -222,8 +232,11 @@
         """What was given away, and the one that was to take it has ended without. What it had written down
         comes from its file (`taken_up`), which tells how far it got."""
         theirs = {entry.id for other in self.others.values() for entry in other.left()}
-        back = [] if self.living else [resumed(entry) for entry in self.entries.values()
-                                       if entry.given and entry.id not in theirs]
+        back = (
+            []
+            if self.living
+            else [resumed(entry) for entry in self.entries.values() if entry.given and entry.id not in theirs]
+        )
         for entry in back:  # one by one: whoever asks holds each before the next may fail
             self.take(entry)
             yield entry
@@ -239,8 +252,12 @@
         """Forgets what the taker has written down, and the files of the dead that hold nothing more; whether
         that was all."""
         given = [entry for entry in self.entries.values() if entry.given]
-        self._record(*({"k": "handed", "ids": [entry.id for entry in some]}
-                       for some in in_parts([entry for entry in given if self._is_theirs(entry)])))
+        self._record(
+            *(
+                {"k": "handed", "ids": [entry.id for entry in some]}
+                for some in in_parts([entry for entry in given if self._is_theirs(entry)])
+            )
+        )
         for other in [other for other in self.others.values() if other.dead and not other.left()]:
             other.close(unlink=True)
             del self.others[other.number]
@@ -258,8 +275,9 @@
     def says_unlisted(self, names: set[str]) -> None:
         """Which endpoints of the configuration's list are not ready any more, as discovery has told."""
         changes = [("unlisted", sorted(names - self.unlisted)), ("listed", sorted(self.unlisted - names))]
-        self._record(*({"k": kind, "names": list(some)} for kind, changed in changes
-                       for some in in_parts(changed)))
+        self._record(
+            *({"k": kind, "names": list(some)} for kind, changed in changes for some in in_parts(changed))
+        )
 
     def known_unlisted(self) -> set[str]:
         """As this process, or an earlier or another one of this relay, has heard."""
@@ -402,8 +420,11 @@
         if not self.others:
             return self.budget
         with os.scandir(self.folder) as found:
-            held = sum(self._blocks(each.stat().st_size) for each in found
-                       if each.name not in (self.path.name, self.journal_file.spare.name))
+            held = sum(
+                self._blocks(each.stat().st_size)
+                for each in found
+                if each.name not in (self.path.name, self.journal_file.spare.name)
+            )
         return self.budget - held - 2 * SLACK
 
     def _fits(self, more: int) -> bool:
@@ -441,8 +462,10 @@
         """All that counts, as records."""
         records: list[dict[str, Any]] = [snapshot(entry) for entry in self.entries.values()]
         if self.others:
-            records += [{"k": "lane", "dest": dest, "ep": endpoint, "told": told}
-                        for (dest, endpoint), told in self.lanes.items()]
+            records += [
+                {"k": "lane", "dest": dest, "ep": endpoint, "told": told}
+                for (dest, endpoint), told in self.lanes.items()
+            ]
             records.append({"k": "calls", "out": self.calls})
         records += [{"k": "unlisted", "names": list(some)} for some in in_parts(sorted(self.unlisted))]
         return [*records, {"k": "role", "role": self.role}] if self.role else records
--- a/linnetstile/net/link.py
+++ b/linnetstile/net/link.py
@@ -131,8 +131,9 @@
         if self.transport is not None:
             self.transport.abort()
 
-    async def send(self, method: str, target: str, headers: Headers, body: bytes,
-                   hold_s: float | None = None) -> None:
+    async def send(
+        self, method: str, target: str, headers: Headers, body: bytes, hold_s: float | None = None
+    ) -> None:
         """Returns once the last byte is written; LinkLost means that it was not. If it is to be held back,
         for so many seconds at least, only what comes before it is written, and `finish` is still to be
         called."""
@@ -147,8 +148,9 @@
         self.status, self.head, self.whole = loop.create_future(), loop.create_future(), loop.create_future()
         self.start.clear()
         self.body.clear()
-        request = h11.Request(method=method, target=target,
-                              headers=[*headers, ("Content-Length", str(len(body)))])
+        request = h11.Request(
+            method=method, target=target, headers=[*headers, ("Content-Length", str(len(body)))]
+        )
         events = [request, h11.Data(data=body), h11.EndOfMessage()]
         data = b"".join(self.http.send(event) or b"" for event in events)
         if hold_s is not None:
@@ -186,8 +188,9 @@
         else:
             self.out = ends
 
-    async def ask(self, method: str, target: str, headers: Headers, body: bytes = b"",
-                  hold_s: float | None = None) -> tuple[Head, bytes]:
+    async def ask(
+        self, method: str, target: str, headers: Headers, body: bytes = b"", hold_s: float | None = None
+    ) -> tuple[Head, bytes]:
         """One request, its last byte held back for so many seconds, and its whole answer."""
         await self.send(method, target, headers, body, hold_s)
         if hold_s is not None:
--- a/linnetstile/net/management.py
+++ b/linnetstile/net/management.py
@@ -77,8 +77,11 @@
                 if isinstance(event, h11.Request):
                     self.request = event
                 elif isinstance(event, h11.EndOfMessage) and self.request is not None:
-                    self._answer(self.door.answer(self.request.method.decode("ascii"),
-                                                  self.request.target.decode("latin-1")))
+                    self._answer(
+                        self.door.answer(
+                            self.request.method.decode("ascii"), self.request.target.decode("latin-1")
+                        )
+                    )
                     return
                 elif isinstance(event, h11.ConnectionClosed):
                     self.transport.close()
@@ -95,8 +98,11 @@
     def _answer(self, answer: Answer) -> None:
         self.answered = True
         text = (answer.text.rstrip("\n") + "\n" if answer.text else "").encode()
-        headers = [("Content-Length", str(len(text))), ("Content-Type", "text/plain; charset=utf-8"),
-                   ("Connection", "close")]
+        headers = [
+            ("Content-Length", str(len(text))),
+            ("Content-Type", "text/plain; charset=utf-8"),
+            ("Connection", "close"),
+        ]
         if answer.allow:
             headers.append(("Allow", answer.allow))
         head = h11.Response(status_code=answer.status, headers=headers)
@@ -120,8 +126,10 @@
     def answer(self, method: str, target: str) -> Answer:
         call = self.calls.get(target.partition("?")[0])
         if call is None:
-            return Answer(404, "no such call: " + ", ".join(
-                f"{known.method} {path}" for path, known in self.calls.items()))
+            return Answer(
+                404,
+                "no such call: " + ", ".join(f"{known.method} {path}" for path, known in self.calls.items()),
+            )
         if method != call.method:
             return Answer(405, f"{call.method} it", allow=call.method)
         return call.run()
@@ -139,8 +147,9 @@
         sock = socket.create_server(address, backlog=CALLERS)
         self.port = int(sock.getsockname()[1])
         up = threading.Event()
-        self.thread = threading.Thread(target=lambda: asyncio.run(self._serve(sock, up)), name="door",
-                                       daemon=True)
+        self.thread = threading.Thread(
+            target=lambda: asyncio.run(self._serve(sock, up)), name="door", daemon=True
+        )
         self.thread.start()
         up.wait(START_S)
 
--- a/linnetstile/net/outcomes.py
+++ b/linnetstile/net/outcomes.py
@@ -139,8 +139,11 @@
         """Those whose time has come, and the second tries whose time is near."""
         due = [ident for ident, notice in self.waiting.items() if notice.due_at <= now]
         if any(self.waiting[ident].tries for ident in due):
-            due = [ident for ident, notice in self.waiting.items()
-                   if notice.due_at <= now + (TOGETHER_S if notice.tries else 0.0)]
+            due = [
+                ident
+                for ident, notice in self.waiting.items()
+                if notice.due_at <= now + (TOGETHER_S if notice.tries else 0.0)
+            ]
         return due
 
     def _way(self, again: bool) -> Agent:
@@ -211,8 +214,12 @@
             if (notice := self.waiting.pop(ident, None)) is not None:
                 told.append(Told(now, ident, notice.line))
                 if now > notice.added_at + LATE_S:
-                    log.info("notices: %s is told after %.0f ms, at try %d", ident,
-                             1000 * (now - notice.added_at), notice.tries)
+                    log.info(
+                        "notices: %s is told after %.0f ms, at try %d",
+                        ident,
+                        1000 * (now - notice.added_at),
+                        notice.tries,
+                    )
         self.recent += told
         self._recently_told()
         if told:
--- a/linnetstile/net/records.py
+++ b/linnetstile/net/records.py
@@ -95,22 +95,47 @@
 def entry_of(record: dict[str, Any]) -> Entry:
     """The inverse of `snapshot`."""
     return Entry(
-        str(record["id"]), str(record["class"]), str(record["tenant"]), int(record["dest"]), record["key"],
-        float(record["since"]), float(record["due"]), str(record["again"]), base64.b64decode(record["body"]),
-        int(record["tries"]), attempt(record["out"]), attempt(record["risk"]), str(record["end"]),
-        float(record["after"]), bool(record["told"]), bool(record.get("given")),
+        str(record["id"]),
+        str(record["class"]),
+        str(record["tenant"]),
+        int(record["dest"]),
+        record["key"],
+        float(record["since"]),
+        float(record["due"]),
+        str(record["again"]),
+        base64.b64decode(record["body"]),
+        int(record["tries"]),
+        attempt(record["out"]),
+        attempt(record["risk"]),
+        str(record["end"]),
+        float(record["after"]),
+        bool(record["told"]),
+        bool(record.get("given")),
     )
 
 
 def snapshot(entry: Entry) -> dict[str, Any]:
     """All that is known of a message, as one record; one that has ended needs its body no more."""
+
     def flat(tried: Attempt | None) -> list[Any] | None:
         return [round(tried.at), tried.endpoint, tried.zone] if tried else None
 
     return {
-        "k": "take", "id": entry.id, "class": entry.class_, "tenant": entry.tenant, "dest": entry.dest,
-        "key": entry.key, "since": round(entry.since), "due": round(entry.due), "again": entry.again,
-        "tries": entry.tries, "out": flat(entry.out), "risk": flat(entry.risk), "end": entry.end,
-        "after": entry.after_ms, "told": entry.told, "given": entry.given,
+        "k": "take",
+        "id": entry.id,
+        "class": entry.class_,
+        "tenant": entry.tenant,
+        "dest": entry.dest,
+        "key": entry.key,
+        "since": round(entry.since),
+        "due": round(entry.due),
+        "again": entry.again,
+        "tries": entry.tries,
+        "out": flat(entry.out),
+        "risk": flat(entry.risk),
+        "end": entry.end,
+        "after": entry.after_ms,
+        "told": entry.told,
+        "given": entry.given,
         "body": "" if entry.end else base64.b64encode(entry.body).decode(),
     }
--- a/linnetstile/net/replacement.py
+++ b/linnetstile/net/replacement.py
@@ -24,8 +24,13 @@
 
 class Replacement:
     def __init__(
-        self, journal: Journal, relay: Relay, directory: Directory, turn: Callable[[list[api.Event]], None],
-        take_up: Callable[[Entry], None], withdrawn: Callable[[str], None],
+        self,
+        journal: Journal,
+        relay: Relay,
+        directory: Directory,
+        turn: Callable[[list[api.Event]], None],
+        take_up: Callable[[Entry], None],
+        withdrawn: Callable[[str], None],
     ) -> None:
         self.journal, self.relay, self.directory = journal, relay, directory
         self.turn, self.take_up, self.withdrawn = turn, take_up, withdrawn
@@ -79,8 +84,10 @@
     def _due(self) -> api.Mode:
         """One process at a time: the latest that serves and does not stop. One that starts makes none."""
         living, mine = self.journal.living, self.journal.number
-        if any(other.role == "serve" and other.number > mine
-               or self.stopping and other.role in HEIRS for other in living):
+        if any(
+            other.role == "serve" and other.number > mine or self.stopping and other.role in HEIRS
+            for other in living
+        ):
             return api.Mode.HANDS_OVER
         still = [other for other in living if other.role == "serve" or not other.role and other.number < mine]
         return api.Mode.WAITS if still else api.Mode.CALLS
@@ -111,8 +118,13 @@
                 if name and known is None:
                     continue  # a route that is not listed here yet
                 self.heard[other.number, dest, name] = told
-                events.append(api.Learned(dest, known.entry.id if known else -1, tuple(
-                    (str(field), float(value)) for field, value in told)))
+                events.append(
+                    api.Learned(
+                        dest,
+                        known.entry.id if known else -1,
+                        tuple((str(field), float(value)) for field, value in told),
+                    )
+                )
         return events
 
     def _role(self) -> str:
@@ -139,10 +151,19 @@
         if not self.pair:
             return
         ends = [event for event in events if isinstance(event, api.AttemptEnded)]
-        bad = {known.entry.destination for event in ends if event.outcome is not api.Outcome.OK
-               and (known := self.directory.by_number.get(event.endpoint)) is not None}
-        bad |= {held.msg.destination for event in events if isinstance(event, api.WaitTold)
-                and event.wait_ms and (held := self.relay.board.held.get(event.id)) is not None}
+        bad = {
+            known.entry.destination
+            for event in ends
+            if event.outcome is not api.Outcome.OK
+            and (known := self.directory.by_number.get(event.endpoint)) is not None
+        }
+        bad |= {
+            held.msg.destination
+            for event in events
+            if isinstance(event, api.WaitTold)
+            and event.wait_ms
+            and (held := self.relay.board.held.get(event.id)) is not None
+        }
         try:
             if bad:
                 self._say_lanes(bad)
--- a/linnetstile/net/runtime_checks.py
+++ b/linnetstile/net/runtime_checks.py
@@ -64,5 +64,12 @@
     def unsolicited(self, peer: Peer, address: Address, found: UnsolicitedBytes) -> None:
         """Bytes that no request asked for."""
         self.figures.unsolicited[peer, found.position] += 1
-        traffic.info("unsolicited: %d bytes from %s %s:%d, %s, %.1f ms after answer %d",
-                     found.size, peer, *address, found.position, 1000 * found.since_answer_s, found.answered)
+        traffic.info(
+            "unsolicited: %d bytes from %s %s:%d, %s, %.1f ms after answer %d",
+            found.size,
+            peer,
+            *address,
+            found.position,
+            1000 * found.since_answer_s,
+            found.answered,
+        )
--- a/linnetstile/net/sockets.py
+++ b/linnetstile/net/sockets.py
@@ -23,13 +23,16 @@
 SO_ATTACH_FILTER = 26  # socket(7); the socket module does not name it
 # A classic BPF program: of the TCP header's flags at offset 13, SYN without ACK is dropped, all else passes.
 TCP_FLAGS, SYN, SYN_ACK, ALL = 13, 0x02, 0x12, 0xFFFFFFFF
-DROP_NEW = b"".join(struct.pack("HBBI", *instruction) for instruction in (
-    (0x30, 0, 0, TCP_FLAGS),  # load the byte
-    (0x54, 0, 0, SYN_ACK),  # keep these bits of it
-    (0x15, 0, 1, SYN),  # if they are SYN alone
-    (0x06, 0, 0, 0),  # drop
-    (0x06, 0, 0, ALL),  # else pass
-))
+DROP_NEW = b"".join(
+    struct.pack("HBBI", *instruction)
+    for instruction in (
+        (0x30, 0, 0, TCP_FLAGS),  # load the byte
+        (0x54, 0, 0, SYN_ACK),  # keep these bits of it
+        (0x15, 0, 1, SYN),  # if they are SYN alone
+        (0x06, 0, 0, 0),  # drop
+        (0x06, 0, 0, ALL),  # else pass
+    )
+)
 INSTRUCTION_BYTES = 8
 
 
@@ -111,8 +114,9 @@
     program = array.array("B", DROP_NEW)
     address, length = program.buffer_info()
     try:
-        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER,
-                            struct.pack("@HP", length // INSTRUCTION_BYTES, address))
+        listener.setsockopt(
+            socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("@HP", length // INSTRUCTION_BYTES, address)
+        )
     except OSError as error:
         log.info("new connections cannot be turned away before the listener closes: %s", error)
 
--- a/linnetstile/net/system_errors.py
+++ b/linnetstile/net/system_errors.py
@@ -15,18 +15,45 @@
 SEND_AGAIN = frozenset((errno.ENOBUFS, errno.ENOMEM))
 
 # A connection that was never begun: no port, no route, no interface, no leave. A peer cannot cause these.
-NOT_BEGUN = SHORTAGE | {errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.ENETUNREACH, errno.ENETDOWN, errno.EPERM,
-                        errno.EACCES}
+NOT_BEGUN = SHORTAGE | {
+    errno.EADDRNOTAVAIL,
+    errno.EADDRINUSE,
+    errno.ENETUNREACH,
+    errno.ENETDOWN,
+    errno.EPERM,
+    errno.EACCES,
+}
 
 # accept(2) passes on errors of the connection that it would have returned: the next one may be sound.
-ACCEPT_NEXT = frozenset((
-    errno.ECONNABORTED, errno.ECONNRESET, errno.EPROTO, errno.ENOPROTOOPT, errno.EOPNOTSUPP, errno.EHOSTDOWN,
-    errno.EHOSTUNREACH, errno.ENETDOWN, errno.ENETUNREACH, errno.ENONET, errno.ETIMEDOUT, errno.EPERM,
-))
+ACCEPT_NEXT = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.ECONNRESET,
+        errno.EPROTO,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENONET,
+        errno.ETIMEDOUT,
+        errno.EPERM,
+    )
+)
 
 # A start waits for these to pass. All else (a folder that does not exist, another program's address) ends it
 # with a line that says why. None: raised by the program itself, where two processes start at once.
 START_WAITS = SHORTAGE | {
-    None, errno.EIO, errno.ENOSPC, errno.EDQUOT, errno.EBUSY, errno.ENOLCK, errno.ESTALE, errno.ETIMEDOUT,
-    errno.EADDRNOTAVAIL, errno.ENETDOWN, errno.ENETUNREACH,
+    None,
+    errno.EIO,
+    errno.ENOSPC,
+    errno.EDQUOT,
+    errno.EBUSY,
+    errno.ENOLCK,
+    errno.ESTALE,
+    errno.ETIMEDOUT,
+    errno.EADDRNOTAVAIL,
+    errno.ENETDOWN,
+    errno.ENETUNREACH,
 }
--- a/linnetstile/soak/__main__.py
+++ b/linnetstile/soak/__main__.py
@@ -63,8 +63,12 @@
 
 
 def parser() -> argparse.ArgumentParser:
-    made = argparse.ArgumentParser(prog="linnetstile.soak", description=__doc__, epilog=EXAMPLES,
-                                   formatter_class=argparse.RawDescriptionHelpFormatter)
+    made = argparse.ArgumentParser(
+        prog="linnetstile.soak",
+        description=__doc__,
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
     commands = made.add_subparsers(dest="command", required=True)
     run = commands.add_parser("run", help="plays several seeds")
     run.add_argument("--seeds", type=seeds_of, default=[1], help="as 3, 1-50 or 1,4,9")
@@ -91,8 +95,10 @@
     plans = [Plan(seed, asked.seconds, asked.per_s, asked.relays) for seed in seeds]
     results = asyncio.run(play_all(plans, beside, asked.keep))
     broken = [result for result in results if result.breaches]
-    print(f"{len(results)} played, {len(broken)} with a breach"
-          + (f": {sorted(result.plan.seed for result in broken)}" if broken else ""))
+    print(
+        f"{len(results)} played, {len(broken)} with a breach"
+        + (f": {sorted(result.plan.seed for result in broken)}" if broken else "")
+    )
     return 1 if broken else 0
 
 
--- a/linnetstile/soak/client.py
+++ b/linnetstile/soak/client.py
@@ -106,8 +106,14 @@
             left_ms = int((due - time.monotonic()) * 1000)
             if left_ms <= 0:
                 return
-            hand_in = HandIn(f"{name}.{turn}", self.relay, class_, destination,
-                             time.monotonic() + left_ms / 1000, left_ms / 1000)
+            hand_in = HandIn(
+                f"{name}.{turn}",
+                self.relay,
+                class_,
+                destination,
+                time.monotonic() + left_ms / 1000,
+                left_ms / 1000,
+            )
             self.ledger.hand_ins[hand_in.ident] = hand_in
             status = await self._hand_in(hand_in, self._request(hand_in, name, left_ms, again))
             if status in ACCEPTED:
@@ -118,9 +124,14 @@
     def _request(self, hand_in: HandIn, name: str, left_ms: int, again: Again) -> bytes:
         body = self.rng.randbytes(self.rng.randrange(*BODY_BYTES))
         headers = [
-            "Host: origin.svc", f"X-Trace-Id: {hand_in.ident}", f"X-Qos: {hand_in.class_}",
-            f"X-Customer: {self.rng.choice(['t', 'u'])}", f"X-Expires-In-Ms: {left_ms}",
-            f"X-Addressing: dest={hand_in.destination}", f"Content-Length: {len(body)}"]
+            "Host: origin.svc",
+            f"X-Trace-Id: {hand_in.ident}",
+            f"X-Qos: {hand_in.class_}",
+            f"X-Customer: {self.rng.choice(['t', 'u'])}",
+            f"X-Expires-In-Ms: {left_ms}",
+            f"X-Addressing: dest={hand_in.destination}",
+            f"Content-Length: {len(body)}",
+        ]
         if hand_in.class_ == "keyed":
             headers.append(f"Idempotency-Key: k-{name}")
         if again is not Again.NO:
--- a/linnetstile/soak/fault_process.py
+++ b/linnetstile/soak/fault_process.py
@@ -80,6 +80,7 @@
             if faults.lasting(file):
                 faults.check(name)
             return real(file, *args)
+
         return call
 
     def by_path(name: str, real: Callable[..., Any]) -> Callable[..., Any]:
@@ -87,6 +88,7 @@
             if str(path).startswith(faults.folder):
                 faults.check(name)
             return real(path, *args, **more)
+
         return call
 
     for name in FILE_CALLS[1:]:
@@ -104,6 +106,7 @@
                 return real(self, args[0][: max(1, len(args[0]) // 2)])
             faults.check(name)
             return real(self, *args)
+
         return call
 
     real_init = socket.socket.__init__
--- a/linnetstile/soak/judge.py
+++ b/linnetstile/soak/judge.py
@@ -64,8 +64,11 @@
                 if self._is_found_untried(hand_in, restart):
                     found += 1
                     told = self.ledger.told.get(hand_in.ident)
-                    early += (told is not None and hand_in.ident not in self.ledger.attempts
-                              and told.at < restart.ready_at + EARLY_S)
+                    early += (
+                        told is not None
+                        and hand_in.ident not in self.ledger.attempts
+                        and told.at < restart.ready_at + EARLY_S
+                    )
         if found >= FEWEST_FOUND and early > found / 2:
             return [Breach("untried", f"{early} of {found} that restarts found are given up early")]
         return []
@@ -103,13 +106,23 @@
         delivered = self.ledger.delivered.get(ident)
         found = []
         if told is not None:
-            found += [Breach("lost", f"{ident} is forwarded {attempt.begun_at - told.at:.2f} s after "
-                                     f"it was {told.state}")
-                      for attempt in attempts if attempt.begun_at > told.at + CROSSES_S + OWN_S]
+            found += [
+                Breach(
+                    "lost",
+                    f"{ident} is forwarded {attempt.begun_at - told.at:.2f} s after " f"it was {told.state}",
+                )
+                for attempt in attempts
+                if attempt.begun_at > told.at + CROSSES_S + OWN_S
+            ]
         if delivered is not None and not self._unread(hand_in, delivered):
-            found += [Breach("duplicate", f"{ident} is forwarded {attempt.begun_at - delivered:.2f} s after "
-                                          "its delivery")
-                      for attempt in attempts if attempt.begun_at > delivered + CROSSES_S + OWN_S]
+            found += [
+                Breach(
+                    "duplicate",
+                    f"{ident} is forwarded {attempt.begun_at - delivered:.2f} s after " "its delivery",
+                )
+                for attempt in attempts
+                if attempt.begun_at > delivered + CROSSES_S + OWN_S
+            ]
             if told is not None and told.state == "failed" and told.at > delivered + OWN_S:
                 found.append(Breach("lost", f"{ident} was delivered, and is told as failed"))
         return found
@@ -117,8 +130,12 @@
     def _unread(self, hand_in: HandIn, delivered: float) -> bool:
         """Whether the process may have ended with this answer unread, or where it could not write it down:
         the next one then finds a call that was out as the first one ended."""
-        return any(min(restart.begun_at, restart.refusing_since) - UNREAD_S < delivered
-                   < restart.killed_at + UNREAD_S for restart in self._restarts(hand_in))
+        return any(
+            min(restart.begun_at, restart.refusing_since) - UNREAD_S
+            < delivered
+            < restart.killed_at + UNREAD_S
+            for restart in self._restarts(hand_in)
+        )
 
     def _of_effects(self, hand_in: HandIn, attempts: list[Attempt]) -> list[Breach]:
         ident, ran = hand_in.ident, [attempt for attempt in attempts if attempt.ran]
@@ -139,19 +156,32 @@
         for attempt in attempts:
             told_at = self.ledger.drained.get((hand_in.relay, attempt.endpoint))
             if told_at is not None and attempt.begun_at > told_at + DRAIN_S + OWN_S:
-                found.append(Breach("drain", f"{hand_in.ident} is sent to {attempt.endpoint} "
-                                             f"{attempt.begun_at - told_at:.2f} s after its relay was told"))
+                found.append(
+                    Breach(
+                        "drain",
+                        f"{hand_in.ident} is sent to {attempt.endpoint} "
+                        f"{attempt.begun_at - told_at:.2f} s after its relay was told",
+                    )
+                )
         return found
 
     def _of_waits(self, hand_in: HandIn, attempts: list[Attempt]) -> list[Breach]:
-        """"A restart ends the wait.\""""
+        """ "A restart ends the wait.\" """
         found = []
         for wait in self.ledger.waits:
             if (wait.relay, wait.destination) != (hand_in.relay, hand_in.destination):
                 continue
-            ended = min((restart.killed_at for restart in self._restarts(hand_in)
-                         if restart.begun_at > wait.from_ - OWN_S), default=float("inf"))
-            found += [Breach("wait", f"{hand_in.ident} is sent {wait.until - attempt.begun_at:.2f} s early")
-                      for attempt in attempts
-                      if wait.from_ + CROSSES_S + OWN_S < attempt.begun_at < min(wait.until, ended) - OWN_S]
+            ended = min(
+                (
+                    restart.killed_at
+                    for restart in self._restarts(hand_in)
+                    if restart.begun_at > wait.from_ - OWN_S
+                ),
+                default=float("inf"),
+            )
+            found += [
+                Breach("wait", f"{hand_in.ident} is sent {wait.until - attempt.begun_at:.2f} s early")
+                for attempt in attempts
+                if wait.from_ + CROSSES_S + OWN_S < attempt.begun_at < min(wait.until, ended) - OWN_S
+            ]
         return found
--- a/linnetstile/soak/platform.py
+++ b/linnetstile/soak/platform.py
@@ -42,11 +42,23 @@
         return self._answer(False, dict.fromkeys(name for at, name in self.changes if at > version))
 
     def _answer(self, reset: bool, names: Iterable[str]) -> dict[str, Any]:
-        return {"generation": self.version, "reset": reset, "instances": [
-            {"instanceId": name, "hostPort": "{}:{}".format(*self.states[name][0].address),
-             "zone": self.states[name][0].zone, "machineType": self.states[name][0].kind,
-             "cell": self.states[name][0].destination, "lifecycle": self.states[name][1],
-             "weight": 200.0, "startedAtMs": 0} for name in names]}
+        return {
+            "generation": self.version,
+            "reset": reset,
+            "instances": [
+                {
+                    "instanceId": name,
+                    "hostPort": "{}:{}".format(*self.states[name][0].address),
+                    "zone": self.states[name][0].zone,
+                    "machineType": self.states[name][0].kind,
+                    "cell": self.states[name][0].destination,
+                    "lifecycle": self.states[name][1],
+                    "weight": 200.0,
+                    "startedAtMs": 0,
+                }
+                for name in names
+            ],
+        }
 
 
 @dataclass
--- a/linnetstile/soak/price.py
+++ b/linnetstile/soak/price.py
@@ -77,8 +77,9 @@
 
         async def call(number: int) -> None:
             address, began = servers[self.rng.randrange(ENDPOINTS)].address, loop.time()
-            answer = await egress.call(Call(address[1], address, f"m{number}", None, b"x", began + PATIENCE_S,
-                                            lambda: True))
+            answer = await egress.call(
+                Call(address[1], address, f"m{number}", None, b"x", began + PATIENCE_S, lambda: True)
+            )
             self.took[200].append(loop.time() - began)
             self.kept += answer.kept is True
 
@@ -95,8 +96,14 @@
         return self._row()
 
     async def _server(self, status: int) -> Server:
-        server = Server(self.addresses.next(), path_s=self.load.path_s, extras_share=self.load.extras_share,
-                        extras_rng=random.Random(status), status=status, rng=random.Random(2))
+        server = Server(
+            self.addresses.next(),
+            path_s=self.load.path_s,
+            extras_share=self.load.extras_share,
+            extras_rng=random.Random(status),
+            status=status,
+            rng=random.Random(2),
+        )
         await server.listen()
         return server
 
@@ -108,10 +115,12 @@
 
     def _row(self) -> str:
         load, calls, notices = self.load, self.took[200], self.took[204]
-        return (f"{1000 * load.path_s:6.0f} {load.per_s:7.0f} {load.extras_share:6.1f} | {len(calls):7d} "
-                f"{self.opened[200]:7d} {self.kept / len(calls):5.2f} {quantile(calls, 0.5):7.1f} "
-                f"{quantile(calls, 0.99):7.1f} | {len(notices):7d} {self.opened[204]:7d} "
-                f"{quantile(notices, 0.5):7.1f} {quantile(notices, 0.99):7.1f}")
+        return (
+            f"{1000 * load.path_s:6.0f} {load.per_s:7.0f} {load.extras_share:6.1f} | {len(calls):7d} "
+            f"{self.opened[200]:7d} {self.kept / len(calls):5.2f} {quantile(calls, 0.5):7.1f} "
+            f"{quantile(calls, 0.99):7.1f} | {len(notices):7d} {self.opened[204]:7d} "
+            f"{quantile(notices, 0.5):7.1f} {quantile(notices, 0.99):7.1f}"
+        )
 
 
 async def table(seconds: float) -> None:
--- a/linnetstile/soak/relay.py
+++ b/linnetstile/soak/relay.py
@@ -59,11 +59,19 @@
         spare.replace(self.folder / name)
 
     def _configure(self) -> None:
-        self._replace("config.json", {
-            "name": f"n{self.number}", "listen": "{}:{}".format(*self.address),
-            "discovery": "{}:{}".format(*self.platform.address), "seed": f"{random.getrandbits(64):x}",
-            "state": str(self.folder / "state"), "limits": {"sockets": 512, "disk_mb": 3},
-            "known": self.known, "settings": self.settings})
+        self._replace(
+            "config.json",
+            {
+                "name": f"n{self.number}",
+                "listen": "{}:{}".format(*self.address),
+                "discovery": "{}:{}".format(*self.platform.address),
+                "seed": f"{random.getrandbits(64):x}",
+                "state": str(self.folder / "state"),
+                "limits": {"sockets": 512, "disk_mb": 3},
+                "known": self.known,
+                "settings": self.settings,
+            },
+        )
 
     async def start(self) -> None:
         """Returns once it takes clients."""
@@ -80,11 +88,15 @@
         self._configure()
         if self.settings.get("registry-mode") != "ask":  # what the agent has counts from the first moment
             self.platform.tell(self.platform.listing.since(-1)["instances"], time.monotonic())
-        env = {**os.environ, "RELAY_CONFIG": str(self.folder / "config.json"),
-               "FAULTS": str(self.folder / "faults.json")}
+        env = {
+            **os.environ,
+            "RELAY_CONFIG": str(self.folder / "config.json"),
+            "FAULTS": str(self.folder / "faults.json"),
+        }
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "linnetstile.soak.fault_process", env=env, cwd=ROOT, stderr=log)
+                sys.executable, "-m", "linnetstile.soak.fault_process", env=env, cwd=ROOT, stderr=log
+            )
 
     async def _is_ready(self) -> bool:
         try:
@@ -98,8 +110,10 @@
 
     def was_killed(self, since: float) -> bool:
         """Whether its process was told to end, or was down, at any moment from then on."""
-        return self.up_since > since or any(restart.begun_at >= since or since < restart.ready_at
-                                            for restart in self.ledger.restarts[self.number])
+        return self.up_since > since or any(
+            restart.begun_at >= since or since < restart.ready_at
+            for restart in self.ledger.restarts[self.number]
+        )
 
     async def restart(
         self, how: signal.Signals, again_after_s: list[float], refusing_since: float = float("inf")
--- a/linnetstile/soak/run.py
+++ b/linnetstile/soak/run.py
@@ -44,10 +44,12 @@
         """One row of the table."""
         ledger = self.ledger
         delivered = sum(each.ident in ledger.delivered for each in ledger.heard)
-        return (f"{self.plan.seed:6d} {self.world.relays:6d} {len(self.world.destinations):6d} "
-                f"{'push' if self.world.pushed else 'ask':>5s} {len(ledger.hand_ins):9d} "
-                f"{len(ledger.heard):8d} {delivered:9d} {len(ledger.told):5d} "
-                f"{sum(ledger.faults.values()):6d} {len(self.breaches):8d}")
+        return (
+            f"{self.plan.seed:6d} {self.world.relays:6d} {len(self.world.destinations):6d} "
+            f"{'push' if self.world.pushed else 'ask':>5s} {len(ledger.hand_ins):9d} "
+            f"{len(ledger.heard):8d} {delivered:9d} {len(ledger.told):5d} "
+            f"{sum(ledger.faults.values()):6d} {len(self.breaches):8d}"
+        )
 
 
 HEADER = "  seed relays  dests lists handed in accepted delivered  told faults breaches"
@@ -98,8 +100,14 @@
 
     async def _endpoint(self, destination: int, kind: str, rng: random.Random) -> Endpoint:
         self.numbers += 1
-        endpoint = Endpoint(self.addresses.next(), name=f"s-{self.numbers}", destination=destination,
-                            kind=kind, ledger=self.ledger, rng=random.Random(rng.random()))
+        endpoint = Endpoint(
+            self.addresses.next(),
+            name=f"s-{self.numbers}",
+            destination=destination,
+            kind=kind,
+            ledger=self.ledger,
+            rng=random.Random(rng.random()),
+        )
         self.place(endpoint)
         await endpoint.listen()
         return endpoint
@@ -109,20 +117,46 @@
             platform = Platform(self.addresses.next(), relay=number, listing=listing, ledger=self.ledger)
             self.place(platform)
             await platform.listen()
-            self.relays.append(RelayProcess(number, self.folder / f"n{number}", world.settings(), platform,
-                                            self.ledger, self.addresses.next()))
+            self.relays.append(
+                RelayProcess(
+                    number,
+                    self.folder / f"n{number}",
+                    world.settings(),
+                    platform,
+                    self.ledger,
+                    self.addresses.next(),
+                )
+            )
         await asyncio.gather(*(relay.start() for relay in self.relays))
-        clients = [Clients(relay.number, relay.address, list(range(len(world.destinations))), CLASSES,
-                           self.ledger, random.Random(rng.random()), relay.was_killed,
-                           path_s=self.paths.one_way_s())
-                   for relay in self.relays]
+        clients = [
+            Clients(
+                relay.number,
+                relay.address,
+                list(range(len(world.destinations))),
+                CLASSES,
+                self.ledger,
+                random.Random(rng.random()),
+                relay.was_killed,
+                path_s=self.paths.one_way_s(),
+            )
+            for relay in self.relays
+        ]
         until = time.monotonic() + QUIET_S + self.plan.seconds
 
         async def another(old: Endpoint) -> Endpoint:
             return await self._endpoint(old.destination, old.kind, rng)
 
-        troubles = Troubles(random.Random(rng.random()), self.relays, clients, self.endpoints, listing,
-                            self.ledger, self.addresses, another, self.place)
+        troubles = Troubles(
+            random.Random(rng.random()),
+            self.relays,
+            clients,
+            self.endpoints,
+            listing,
+            self.ledger,
+            self.addresses,
+            another,
+            self.place,
+        )
         async with asyncio.TaskGroup() as tasks:
             for each in clients:
                 tasks.create_task(each.run(until, self.plan.per_s))
@@ -132,9 +166,12 @@
         await asyncio.gather(*(relay.stop() for relay in self.relays))
 
     def _in_logs(self) -> list[Breach]:
-        return [Breach("log", f"relay {relay.number}: {line}") for relay in self.relays
-                for line in relay.log.read_text(errors="replace").splitlines()
-                if any(sign in line for sign in LOG_SIGNS)]
+        return [
+            Breach("log", f"relay {relay.number}: {line}")
+            for relay in self.relays
+            for line in relay.log.read_text(errors="replace").splitlines()
+            if any(sign in line for sign in LOG_SIGNS)
+        ]
 
 
 async def play(plan: Plan, folder: Path) -> Result:
--- a/linnetstile/soak/stand_in.py
+++ b/linnetstile/soak/stand_in.py
@@ -36,8 +36,13 @@
     cut_at: int | None = None  # only so many of its bytes are written, then the connection is reset
 
     def encoded(self) -> bytes:
-        lines = [f"HTTP/1.1 {self.status} X", f"Content-Length: {len(self.body)}",
-                 *(f"{name}: {value}" for name, value in self.headers), "", ""]
+        lines = [
+            f"HTTP/1.1 {self.status} X",
+            f"Content-Length: {len(self.body)}",
+            *(f"{name}: {value}" for name, value in self.headers),
+            "",
+            "",
+        ]
         return "\r\n".join(lines).encode() + self.body
 
 
--- a/linnetstile/soak/trouble.py
+++ b/linnetstile/soak/trouble.py
@@ -26,11 +26,24 @@
 HUP_TO_KILL_S = 0.02, 0.5
 CROWD = 120
 BURST, BURSTS_WEIGHT = (20, 80), 12
-FILE_FAULTS = [("write", "ENOSPC"), ("write", "EIO"), ("write", "half"), ("write", "torn"), ("rename", "EIO"),
-               ("open", "EIO")]
-CALL_FAULTS = [("accept", "ENFILE"), ("accept", "ECONNABORTED"), ("socket", "EMFILE"),
-               ("connect", "EADDRNOTAVAIL"), ("connect", "ENETUNREACH"), ("setsockopt", "EINVAL"),
-               ("short_send", "EAGAIN"), ("send", "ENOBUFS")]
+FILE_FAULTS = [
+    ("write", "ENOSPC"),
+    ("write", "EIO"),
+    ("write", "half"),
+    ("write", "torn"),
+    ("rename", "EIO"),
+    ("open", "EIO"),
+]
+CALL_FAULTS = [
+    ("accept", "ENFILE"),
+    ("accept", "ECONNABORTED"),
+    ("socket", "EMFILE"),
+    ("connect", "EADDRNOTAVAIL"),
+    ("connect", "ENETUNREACH"),
+    ("setsockopt", "EINVAL"),
+    ("short_send", "EAGAIN"),
+    ("send", "ENOBUFS"),
+]
 REFUSES_BEFORE_KILL_S, REFUSES_AFTER_KILL_S = (0.05, 0.5), (0.0, 1.5)
 SILENT_DISCOVERY_S = 0.8, 2.0
 FOLDER_SETTLES_S = 0.3  # until records that were refused are written
@@ -50,11 +63,27 @@
     folder_fails: bool = True
 
     async def run(self, until: float) -> None:
-        kinds = [self.kills, self.kills, self.term, self.moved_and_killed, self.moved_and_killed,
-                 self.refused_destination, self.cut_endpoint, self.mood, self.mood, self.replaced_endpoint,
-                 self.replaced_endpoint, self.silent_platform, self.silent_platform, self.reset_platform,
-                 self.start_with_a_silent_discovery, self.clock, self.failing_calls, self.crowd,
-                 *[self.burst] * BURSTS_WEIGHT]
+        kinds = [
+            self.kills,
+            self.kills,
+            self.term,
+            self.moved_and_killed,
+            self.moved_and_killed,
+            self.refused_destination,
+            self.cut_endpoint,
+            self.mood,
+            self.mood,
+            self.replaced_endpoint,
+            self.replaced_endpoint,
+            self.silent_platform,
+            self.silent_platform,
+            self.reset_platform,
+            self.start_with_a_silent_discovery,
+            self.clock,
+            self.failing_calls,
+            self.crowd,
+            *[self.burst] * BURSTS_WEIGHT,
+        ]
         if self.folder_fails:
             kinds += [self.failing_folder, self.start_on_a_failing_folder, self.kill_on_a_failing_folder]
         async with asyncio.TaskGroup() as tasks:
@@ -86,8 +115,9 @@
         """Discovery moves; in two of three cases the process is killed right behind the signal."""
         relay = self._relay()
         async with relay.busy:
-            successor = Platform(self.addresses.next(), relay=relay.number, listing=self.listing,
-                                 ledger=self.ledger)
+            successor = Platform(
+                self.addresses.next(), relay=relay.number, listing=self.listing, ledger=self.ledger
+            )
             self.place(successor)
             await successor.listen()
             old = relay.platform
--- a/linnetstile/soak/world.py
+++ b/linnetstile/soak/world.py
@@ -25,20 +25,43 @@
 
     def settings(self) -> dict[str, Any]:
         return {
-            "az": 0, "balancers": self.relays, "zones": ["z"], "kinds": ["single", "bulk"], "tick-ms": 5.0,
-            "weight-kind": "nominal", "registry-mode": "push" if self.pushed else "ask",
+            "az": 0,
+            "balancers": self.relays,
+            "zones": ["z"],
+            "kinds": ["single", "bulk"],
+            "tick-ms": 5.0,
+            "weight-kind": "nominal",
+            "registry-mode": "push" if self.pushed else "ask",
             "classes": [
-                {"name": "keyed", "effect": "by_key", "aim-ms": 1000.0, "deadline-ms": 8000.0,
-                 "window-ms": WINDOW_MS},
+                {
+                    "name": "keyed",
+                    "effect": "by_key",
+                    "aim-ms": 1000.0,
+                    "deadline-ms": 8000.0,
+                    "window-ms": WINDOW_MS,
+                },
                 {"name": "unsafe", "effect": "once", "aim-ms": 1000.0, "deadline-ms": 8000.0},
-                {"name": "safe", "effect": "repeatable", "aim-ms": 1000.0, "deadline-ms": 8000.0}],
+                {"name": "safe", "effect": "repeatable", "aim-ms": 1000.0, "deadline-ms": 8000.0},
+            ],
             "extra": {"call-slots": 16, "loses-worth": "halves", "per-call": [1, BULK]},
-            "limits": {"open-cap": 300, "try-limit": 8, "conn-idle-ms": 10000.0, "connect-timeout-ms": 1000.0,
-                       "max-retry-after-ms": 3000.0},
+            "limits": {
+                "open-cap": 300,
+                "try-limit": 8,
+                "conn-idle-ms": 10000.0,
+                "connect-timeout-ms": 1000.0,
+                "max-retry-after-ms": 3000.0,
+            },
             "orgs": [{"name": "t", "quota-per-s": 20.0}, {"name": "u", "quota-per-s": 5.0}],
             "client-habits": {"marks-retry": True},
-            "safety": {"answer-slack-ms": 20.0, "drain-grace-ms": 250.0, "cold-from": 0.2, "cold-ms": 9000.0,
-                       "fall-ms": 1500.0, "fall-multiple": 2.0, "ask-within-ms": 10000.0},
+            "safety": {
+                "answer-slack-ms": 20.0,
+                "drain-grace-ms": 250.0,
+                "cold-from": 0.2,
+                "cold-ms": 9000.0,
+                "fall-ms": 1500.0,
+                "fall-multiple": 2.0,
+                "ask-within-ms": 10000.0,
+            },
         }
 
 
@@ -63,6 +86,9 @@
 def drawn(rng: random.Random) -> World:
     return World(
         rng.randint(*RELAYS),
-        tuple((rng.choice(["single", "bulk"]), rng.randint(*ENDPOINTS))
-              for _ in range(rng.randint(*DESTINATIONS))),
-        rng.random() < 0.5)
+        tuple(
+            (rng.choice(["single", "bulk"]), rng.randint(*ENDPOINTS))
+            for _ in range(rng.randint(*DESTINATIONS))
+        ),
+        rng.random() < 0.5,
+    )
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -197,8 +197,9 @@
 
     def told(self) -> tuple[tuple[str, float], ...]:
         """All that another process needs to go on from here: not what is out, which is each one's own."""
-        return tuple((name, UNKNOWN if (value := getattr(self, name)) is None else float(value))
-                     for name in TOLD)
+        return tuple(
+            (name, UNKNOWN if (value := getattr(self, name)) is None else float(value)) for name in TOLD
+        )
 
     def take(self, figures: tuple[tuple[str, float], ...], whole: bool) -> None:
         """Goes on from what another process knows, or hears only of its waits: one told to either holds."""
@@ -210,9 +211,11 @@
 
     def __str__(self) -> str:
         """For the log: what decides how much goes there."""
-        return (f"{self.calls} out, pace {self.pace:.1f} of {self.total:.1f}, credit {self.credit:.1f}, "
-                f"blame {self.blame:.2f}{' sick' * self.sick}, takes {self.mean:.0f}+-{self.dev:.0f} ms "
-                f"and {self.further:.2f} a message, x {self.stretch:.0f}, hold {self.hold:.0f}")
+        return (
+            f"{self.calls} out, pace {self.pace:.1f} of {self.total:.1f}, credit {self.credit:.1f}, "
+            f"blame {self.blame:.2f}{' sick' * self.sick}, takes {self.mean:.0f}+-{self.dev:.0f} ms "
+            f"and {self.further:.2f} a message, x {self.stretch:.0f}, hold {self.hold:.0f}"
+        )
 
 
 def when(value: float) -> float | None:
@@ -220,10 +223,29 @@
 
 
 TOLD: dict[str, Callable[[float], float | bool | None]] = {
-    "mean": float, "dev": float, "total": float, "pace": float, "credit": float, "credit_at": float,
-    "reported": bool, "answers": int, "shared": int, "further": float, "last_ok": float, "stretch": float,
-    "hold": float, "free_at": float, "wait_until": float, "blame": float, "sick": bool, "failed_at": float,
-    "lost": float, "ran_nothing": bool, "bad_since": when, "cold_since": float, "knowers": float,
+    "mean": float,
+    "dev": float,
+    "total": float,
+    "pace": float,
+    "credit": float,
+    "credit_at": float,
+    "reported": bool,
+    "answers": int,
+    "shared": int,
+    "further": float,
+    "last_ok": float,
+    "stretch": float,
+    "hold": float,
+    "free_at": float,
+    "wait_until": float,
+    "blame": float,
+    "sick": bool,
+    "failed_at": float,
+    "lost": float,
+    "ran_nothing": bool,
+    "bad_since": when,
+    "cold_since": float,
+    "knowers": float,
     "next_trickle": float,
 }
 
--- a/linnetstile/wirehost.py
+++ b/linnetstile/wirehost.py
@@ -11,8 +11,16 @@
 from .control import Relay
 from .settings import SettingsError, settings_from
 
-OUTCOMES = (api.Outcome.ERROR, api.Outcome.OK, api.Outcome.FULL, api.Outcome.TIMEOUT,
-            api.Outcome.CONNECT_FAILED, api.Outcome.RESET, api.Outcome.CANCELLED, api.Outcome.NOT_SENT)
+OUTCOMES = (
+    api.Outcome.ERROR,
+    api.Outcome.OK,
+    api.Outcome.FULL,
+    api.Outcome.TIMEOUT,
+    api.Outcome.CONNECT_FAILED,
+    api.Outcome.RESET,
+    api.Outcome.CANCELLED,
+    api.Outcome.NOT_SENT,
+)
 LISTINGS = {1: api.Listing.READY, 2: api.Listing.GONE, 3: api.Listing.DRAINING}
 LIST_KINDS = (api.ListKind.CHANGES, api.ListKind.WHOLE, api.ListKind.CACHED, api.ListKind.FAILED)
 ENTRY = struct.Struct("<BfdHBHI")
@@ -82,15 +90,33 @@
     def _event(self, code: int, data: bytes) -> api.Event:
         if code == 110:
             tid, lane, tenant, key, left, hint, dest, opts = struct.unpack_from("<IBIQddfB", data, 4)
-            return api.Message(tid, int(dest), lane, left, tenant, key, hint if opts & 1 else None,
-                               bool(opts & 2), bool(opts & 16))
+            return api.Message(
+                tid,
+                int(dest),
+                lane,
+                left,
+                tenant,
+                key,
+                hint if opts & 1 else None,
+                bool(opts & 2),
+                bool(opts & 16),
+            )
         if code == 100:
             tid, go, endpoint, result, cost, done, wait, n = struct.unpack_from("<IHIBdBIB", data, 4)
             report = struct.unpack_from(f"<{n}f", data, 29)
             outcome = outcome_of(result)
             full = outcome is api.Outcome.FULL
-            return api.AttemptEnded(tid, go, endpoint, outcome, cost, bool(done), wait if full else 0.0,
-                                    bool(wait) and outcome is api.Outcome.NOT_SENT, report)
+            return api.AttemptEnded(
+                tid,
+                go,
+                endpoint,
+                outcome,
+                cost,
+                bool(done),
+                wait if full else 0.0,
+                bool(wait) and outcome is api.Outcome.NOT_SENT,
+                report,
+            )
         if code == 30:
             kind, _, number = struct.unpack_from("<BQB", data, 4)
             if kind >= len(LIST_KINDS):
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -83,10 +83,15 @@
                 if seen.over:
                     raise Breach("lost: a second final answer")
                 effect = self.settings.classes[seen.msg.class_].effect
-                if isinstance(action, api.Refuse) and self.risks(seen) and (
+                if (
+                    isinstance(action, api.Refuse)
+                    and self.risks(seen)
+                    and (
                         effect is api.Effect.UNSAFE
                         or effect is api.Effect.KEYED
-                        and self.settings.classes[seen.msg.class_].key_scope is not api.Scope.ALL):
+                        and self.settings.classes[seen.msg.class_].key_scope is not api.Scope.ALL
+                    )
+                ):
                     raise Breach("twice: refused though it may have run")
                 seen.over = True
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -39,8 +39,15 @@
 
 def make_settings(**more: Any) -> api.Settings:
     values: dict[str, Any] = {
-        "classes": CLASSES, "kinds": (api.DestinationKind("k"),), "slots": 8, "hold": 40, "attempts": 5,
-        "relays": 2, "rates": api.Rates.NOMINAL, "idle_ms": 10000.0, "tick_ms": 5.0,
+        "classes": CLASSES,
+        "kinds": (api.DestinationKind("k"),),
+        "slots": 8,
+        "hold": 40,
+        "attempts": 5,
+        "relays": 2,
+        "rates": api.Rates.NOMINAL,
+        "idle_ms": 10000.0,
+        "tick_ms": 5.0,
         "safety": api.Safety(20.0, 250.0, 0.2, 9000.0, 2.0, 1500.0, 10000.0, 100.0),
     }
     return api.Settings(**{**values, **more})
@@ -78,8 +85,12 @@
         return acts
 
     def listed(self, *entries: tuple[int, int], rate: float = 20.0, kind: int = 0) -> None:
-        self.feed(api.EndpointList(api.ListKind.CACHED, tuple(
-            api.Endpoint(ident, dest, api.Listing.READY, kind, 0, rate) for ident, dest in entries)))
+        self.feed(
+            api.EndpointList(
+                api.ListKind.CACHED,
+                tuple(api.Endpoint(ident, dest, api.Listing.READY, kind, 0, rate) for ident, dest in entries),
+            )
+        )
 
     def message(
         self, class_: int = SAFE, dest: int = 1, left: float = 1e4, key: int = 0, tenant: int = 0
@@ -97,11 +108,27 @@
     def last(self, ident: int) -> tuple[float, api.Send]:
         return [entry for entry in self.sent if entry[1].id == ident][-1]
 
-    def answer(self, ident: int, outcome: api.Outcome = api.Outcome.OK, wait: float = 0.0,
-               took: float = 100.0, report: tuple[float, ...] = ()) -> list[api.Action]:
+    def answer(
+        self,
+        ident: int,
+        outcome: api.Outcome = api.Outcome.OK,
+        wait: float = 0.0,
+        took: float = 100.0,
+        report: tuple[float, ...] = (),
+    ) -> list[api.Action]:
         send = self.out.pop(ident)
-        return self.feed(api.AttemptEnded(ident, self.tries[ident] - 1, send.endpoint, outcome, took,
-                                          outcome is api.Outcome.OK, wait, report=report))
+        return self.feed(
+            api.AttemptEnded(
+                ident,
+                self.tries[ident] - 1,
+                send.endpoint,
+                outcome,
+                took,
+                outcome is api.Outcome.OK,
+                wait,
+                report=report,
+            )
+        )
 
     def warm_up(self, dest: int = 1, calls: int = 6) -> None:
         """Some quick answers, so that the destination is known and well."""
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -49,15 +49,21 @@
         env = {**os.environ, "RELAY_CONFIG": str(self.config), "FAULTS": str(self.faults), **more}
         with (self.log or Path(os.devnull)).open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "linnetstile.soak.fault_process", env=env, cwd=ROOT,
-                stderr=log if self.log else None)
+                sys.executable,
+                "-m",
+                "linnetstile.soak.fault_process",
+                env=env,
+                cwd=ROOT,
+                stderr=log if self.log else None,
+            )
         self.begun.append(self.process)
 
     def on_file(self, ident: str, kind: str) -> bool:
         """Whether a whole record of this kind is in the folder for that message."""
         records = [line for path in self.state.glob("journal*") for line in path.read_text().splitlines()]
-        return any(f'"k":"{kind}"' in line and f'"id":"{ident}"' in line and line.endswith("}")
-                   for line in records)
+        return any(
+            f'"k":"{kind}"' in line and f'"id":"{ident}"' in line and line.endswith("}") for line in records
+        )
 
 
 @asynccontextmanager
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -18,7 +18,12 @@
 
 PATIENCE_S = 60.0  # nothing here takes long; only a hang reaches it
 SETTINGS: dict[str, Any] = {
-    "az": 0, "balancers": 1, "zones": ["z"], "kinds": ["k"], "tick-ms": 5.0, "weight-kind": "nominal",
+    "az": 0,
+    "balancers": 1,
+    "zones": ["z"],
+    "kinds": ["k"],
+    "tick-ms": 5.0,
+    "weight-kind": "nominal",
     "classes": [
         {"name": "keyed", "effect": "by_key", "aim-ms": 4000.0, "deadline-ms": 16000.0, "window-ms": 4000.0},
         {"name": "unsafe", "effect": "once", "aim-ms": 3000.0, "deadline-ms": 16000.0},
@@ -27,8 +32,14 @@
     "extra": {"call-slots": 8, "loses-worth": "halves"},
     "limits": {"open-cap": 20, "try-limit": 8, "conn-idle-ms": 10000.0, "connect-timeout-ms": 1500.0},
     "orgs": [{"name": "t", "quota-per-s": 100.0}],
-    "safety": {"answer-slack-ms": 20.0, "drain-grace-ms": 250.0, "cold-from": 0.2, "cold-ms": 9000.0,
-               "fall-ms": 1500.0, "fall-multiple": 2.0},
+    "safety": {
+        "answer-slack-ms": 20.0,
+        "drain-grace-ms": 250.0,
+        "cold-from": 0.2,
+        "cold-ms": 9000.0,
+        "fall-ms": 1500.0,
+        "fall-multiple": 2.0,
+    },
 }
 
 
@@ -155,8 +166,9 @@
             async with asyncio.timeout(float(query["hold_ms"]) / 1000 if query else None):
                 return await self.changes.get()
         except TimeoutError:
-            return answer(200, body=json.dumps(
-                {"generation": int(query["from"]), "reset": False, "instances": []}))
+            return answer(
+                200, body=json.dumps({"generation": int(query["from"]), "reset": False, "instances": []})
+            )
 
     def tell(self, raw: dict[str, Any]) -> None:
         self.changes.put_nowait(answer(200, body=json.dumps(raw)))
@@ -172,16 +184,37 @@
 def listing(
     *servers: Addressed, generation: int = 1, reset: bool = True, state: str = "ready"
 ) -> dict[str, Any]:
-    return {"generation": generation, "reset": reset, "instances": [
-        {"instanceId": f"s-{server.address[1]}", "hostPort": "{}:{}".format(*server.address), "zone": "z",
-         "machineType": "k", "cell": 7, "lifecycle": state, "weight": 50.0, "startedAtMs": 0}
-        for server in servers]}
+    return {
+        "generation": generation,
+        "reset": reset,
+        "instances": [
+            {
+                "instanceId": f"s-{server.address[1]}",
+                "hostPort": "{}:{}".format(*server.address),
+                "zone": "z",
+                "machineType": "k",
+                "cell": 7,
+                "lifecycle": state,
+                "weight": 50.0,
+                "startedAtMs": 0,
+            }
+            for server in servers
+        ],
+    }
 
 
 def raw_config(state: Path, agent: Server, *servers: Server, **more: Any) -> dict[str, Any]:
-    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": "{}:{}".format(*agent.address),
-            "seed": "1f", "state": str(state), "limits": {"sockets": 256, "disk_mb": 3},
-            "known": listing(*servers), "settings": SETTINGS, **more}
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "{}:{}".format(*agent.address),
+        "seed": "1f",
+        "state": str(state),
+        "limits": {"sockets": 256, "disk_mb": 3},
+        "known": listing(*servers),
+        "settings": SETTINGS,
+        **more,
+    }
 
 
 def host_of(state: Path, agent: Server, *servers: Server, **more: Any) -> Host:
@@ -192,8 +225,13 @@
 
 def message(ident: str, class_: str = "safe", body: bytes = b"hello", left: int = 8000, **more: str) -> bytes:
     headers = {
-        "Host": "origin.svc", "X-Trace-Id": ident, "X-Qos": class_, "X-Customer": "t",
-        "X-Expires-In-Ms": str(left), "X-Addressing": "dest=7", "Content-Length": str(len(body)),
+        "Host": "origin.svc",
+        "X-Trace-Id": ident,
+        "X-Qos": class_,
+        "X-Customer": "t",
+        "X-Expires-In-Ms": str(left),
+        "X-Addressing": "dest=7",
+        "Content-Length": str(len(body)),
         **({"Idempotency-Key": "k-" + ident} if class_ == "keyed" else {}),
         **{name.replace("_", "-"): value for name, value in more.items()},
     }
--- a/tests/planted_measures.py
+++ b/tests/planted_measures.py
@@ -20,9 +20,15 @@
     histogram = HdrHistogram(1, 1_000_000, 3)
     for value in rng.integers(1, 1_000_000, 50):
         histogram.record_value(int(value))
-    return Sample({"work": float(params.get("base", 0.0)) + float(size) ** float(params["power"]),
-                   "drawn": float(rng.random()), "runs": float(len(runs_in_this_process))},
-                  {"took_us": 2.0 * size}, {"latency_us": histogram})
+    return Sample(
+        {
+            "work": float(params.get("base", 0.0)) + float(size) ** float(params["power"]),
+            "drawn": float(rng.random()),
+            "runs": float(len(runs_in_this_process)),
+        },
+        {"took_us": 2.0 * size},
+        {"latency_us": histogram},
+    )
 
 
 @measure("planted_hang")
--- a/tests/test_answer_attribution.py
+++ b/tests/test_answer_attribution.py
@@ -35,8 +35,15 @@
 GAPS_S = [None, 0.0, 0.0005, 0.008, 0.02, 0.024]
 STARTS_S = [0.0, 0.001, 0.02, 0.0249, 0.04]  # of the next request, after the answer before it
 UNREAD_S = [0.0, 0.01]
-EXTRAS = {"copy": answer(200), "error": answer(500), "refusal": answer(503), "noise": b"\x00\x17noise\r\n",
-          "blank line": b"\r\n", "half a head": answer(200)[:20], "interim": b"HTTP/1.1 100 Continue\r\n\r\n"}
+EXTRAS = {
+    "copy": answer(200),
+    "error": answer(500),
+    "refusal": answer(503),
+    "noise": b"\x00\x17noise\r\n",
+    "blank line": b"\r\n",
+    "half a head": answer(200)[:20],
+    "interim": b"HTTP/1.1 100 Continue\r\n\r\n",
+}
 SECOND = {"error": answer(500), "delivered": answer(200), "refused": answer(503), "reset": None}
 OUTCOMES = {b"200": Outcome.OK, b"500": Outcome.ERROR, b"503": Outcome.FULL}
 GIVE_UP_S = 2.0
@@ -50,6 +57,7 @@
 
         monkeypatch.setattr(link_module, "polled", polled)
         monkeypatch.setattr(Link, "open", open_link)
+
     return connect
 
 
@@ -71,8 +79,11 @@
     for number in range(3):
         await asyncio.sleep(start_s if number else 0.0)
         give_up_at = asyncio.get_running_loop().time() + GIVE_UP_S
-        answers.append(await egress.call(Call(
-            1, ADDRESS, f"m{number}", None, b"%d" % number, give_up_at, lambda: True, careful)))
+        answers.append(
+            await egress.call(
+                Call(1, ADDRESS, f"m{number}", None, b"%d" % number, give_up_at, lambda: True, careful)
+            )
+        )
     return answers
 
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -52,23 +52,34 @@
     return True
 
 
-@pytest.mark.parametrize(("request_", "status"), [
-    (GOOD.replace(b"Content-Length: 5", b"Content-Length: 5\r\nTransfer-Encoding: chunked")
-         .replace(b"hello", b"0\r\n\r\n" + message("hidden")), 400),
-    (GOOD.replace(b"Content-Length: 5", b"Transfer-Encoding: chunked\r\nContent-Length: 5"), 400),
-    (GOOD.replace(b"Content-Length: 5", b"Content-Length: 5\r\nContent-Length: 6"), 400),
-    (GOOD.replace(b"X-Trace-Id: m", b"X-Trace-Id: m\r\nX-Trace-Id: n"), 400),
-    (GOOD.replace(b"X-Addressing: dest=7", b"X-Addressing: dest=7\r\nX-Addressing: dest=8"), 400),
-    (GOOD.replace(b"Content-Length: 5", b"Content-Length: -5"), 400),
-    (GOOD.replace(b"Content-Length: 5", b"Content-Length: 3"), 400),
-    (GOOD.replace(b"Content-Length: 5", b"Content-Length: " + b"9" * 19), 413),
-    (GOOD.replace(b"Content-Length: 5", b"Content-Length: " + b"9" * 9000), 400),
-    (GOOD.replace(b"Content-Length: 5\r\n", b"Transfer-Encoding: chunked\r\n")
-         .replace(b"hello", b"10000\r\n" + b"x" * 0x10000 + b"\r\n1\r\nx\r\n"), 413),
-    (GOOD.replace(b"Content-Length: 5\r\n", b"Transfer-Encoding: chunked\r\n") + b"\r\n", 400),
-    (HEAD + b"X-A: " + b"a" * (1 << 20), 431),
-    (b"\x16\x03\x01\x02\x00" * 9, 400),
-])
+@pytest.mark.parametrize(
+    ("request_", "status"),
+    [
+        (
+            GOOD.replace(b"Content-Length: 5", b"Content-Length: 5\r\nTransfer-Encoding: chunked").replace(
+                b"hello", b"0\r\n\r\n" + message("hidden")
+            ),
+            400,
+        ),
+        (GOOD.replace(b"Content-Length: 5", b"Transfer-Encoding: chunked\r\nContent-Length: 5"), 400),
+        (GOOD.replace(b"Content-Length: 5", b"Content-Length: 5\r\nContent-Length: 6"), 400),
+        (GOOD.replace(b"X-Trace-Id: m", b"X-Trace-Id: m\r\nX-Trace-Id: n"), 400),
+        (GOOD.replace(b"X-Addressing: dest=7", b"X-Addressing: dest=7\r\nX-Addressing: dest=8"), 400),
+        (GOOD.replace(b"Content-Length: 5", b"Content-Length: -5"), 400),
+        (GOOD.replace(b"Content-Length: 5", b"Content-Length: 3"), 400),
+        (GOOD.replace(b"Content-Length: 5", b"Content-Length: " + b"9" * 19), 413),
+        (GOOD.replace(b"Content-Length: 5", b"Content-Length: " + b"9" * 9000), 400),
+        (
+            GOOD.replace(b"Content-Length: 5\r\n", b"Transfer-Encoding: chunked\r\n").replace(
+                b"hello", b"10000\r\n" + b"x" * 0x10000 + b"\r\n1\r\nx\r\n"
+            ),
+            413,
+        ),
+        (GOOD.replace(b"Content-Length: 5\r\n", b"Transfer-Encoding: chunked\r\n") + b"\r\n", 400),
+        (HEAD + b"X-A: " + b"a" * (1 << 20), 431),
+        (b"\x16\x03\x01\x02\x00" * 9, 400),
+    ],
+)
 def test_it_is_turned_away_and_the_connection_ends(tmp_path: Path, request_: bytes, status: int) -> None:
     async def work() -> None:
         world = World(tmp_path)
@@ -77,11 +88,13 @@
             assert await ended(client)
             assert not host.held and not host.journal.entries
         assert not world.server.seen
+
     run(work())
 
 
 def test_a_body_of_many_megabytes_is_answered_from_its_head_and_thrown_away(tmp_path: Path) -> None:
     """Guards memory, and the answer: a close with bytes unread would reset it away."""
+
     async def work() -> None:
         async with World(tmp_path) as host, Client(host.ingress.port) as client:
             size = 60 << 20
@@ -95,13 +108,20 @@
             async with Client(host.ingress.port) as other:
                 assert await other.ask(message("n")) == 202
         assert list(host.journal.entries) == ["n"]
+
     run(work())
 
 
-@pytest.mark.parametrize(("sent", "status"), [
-    (b"", 0), (b"GET /hea", 408), (GOOD[:-1], 408), (GOOD[:60], 408),
-    (GOOD.replace(b"Content-Length: 5", b"Content-Length: 50"), 408),
-])
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"", 0),
+        (b"GET /hea", 408),
+        (GOOD[:-1], 408),
+        (GOOD[:60], 408),
+        (GOOD.replace(b"Content-Length: 5", b"Content-Length: 50"), 408),
+    ],
+)
 def test_what_does_not_come_in_time_is_ended(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: bytes, status: int
 ) -> None:
@@ -116,6 +136,7 @@
             assert await ended(client)
             await until(lambda: not host.ingress.connections)
             assert not host.held
+
     run(work())
 
 
@@ -131,6 +152,7 @@
             client.writer.write(GOOD[:-2])
             client.writer.write_eof()
             assert await client.status() == 400 and not host.held
+
     run(work())
 
 
@@ -149,6 +171,7 @@
             await until(lambda: not host.ingress.connections)
             ingress_ = host.ingress
             assert not (ingress_.silent or ingress_.visiting or ingress_.resting or ingress_.lingering)
+
     run(work())
 
 
@@ -156,6 +179,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards clients that may hold only so many connections: those that stay shut the others out."""
+
     async def work() -> None:
         async with World(tmp_path) as host, AsyncExitStack() as open_:
             port, host.ingress.roomy = host.ingress.port, 3
@@ -172,6 +196,7 @@
             host.ingress.roomy = 4
             assert not host.ingress._due(now + client_connection.IDLE_S - 1.0)
             assert len(host.ingress._due(now + client_connection.IDLE_S)) == 3
+
     run(work())
 
 
@@ -194,6 +219,7 @@
                         assert len(host.ingress.connections) <= 3
                 assert await ended(first) and await ended(second)
                 assert await usual.ask(message("c")) == 202  # idle for less than 2 s: it is spared
+
     run(work())
 
 
@@ -216,11 +242,13 @@
                 assert await client.ask(message(f"b{count}")) == 202
             for client in idle:
                 assert await ended(client)
+
     run(work())
 
 
 def test_who_only_looks_in_makes_room_for_who_hands_in(tmp_path: Path) -> None:
     """Guards messages against a crowd that asks for the health and stays."""
+
     async def work() -> None:
         async with World(tmp_path) as host, AsyncExitStack() as open_:
             port = host.ingress.port
@@ -233,6 +261,7 @@
             other = await open_.enter_async_context(Client(port))
             assert await other.ask(message("b")) == await usual.ask(message("c")) == 202
             assert len(host.ingress.connections) == 4
+
     run(work())
 
 
@@ -255,6 +284,7 @@
                 assert await ended(kept)
                 half.writer.write(GOOD[60:])
                 assert await half.status() == 202
+
     run(work())
 
 
@@ -272,6 +302,7 @@
             assert connection.transport is not None and not connection.transport.is_reading()
             assert await client.ask(bad) == 400 and await client.ask(GOOD) == 202
             assert connection.transport.is_reading()
+
     run(work())
 
 
@@ -290,4 +321,5 @@
             world.server.hold.set()
             await until(lambda: host.journal.entries["m"].end == "delivered")
         assert [seen.body for seen in world.server.seen] == [b"hello"]
+
     run(work())
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -38,8 +38,11 @@
     monkeypatch.setattr(ClientConnection, "_answer", hook)
 
 
-@pytest.mark.parametrize("more", [message("late"), message("late")[:40], b"x" * 200_000],
-                         ids=["a request", "half a line", "many bytes"])
+@pytest.mark.parametrize(
+    "more",
+    [message("late"), message("late")[:40], b"x" * 200_000],
+    ids=["a request", "half a line", "many bytes"],
+)
 def test_what_crosses_the_last_answer_neither_resets_it_nor_is_taken_on(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, more: bytes
 ) -> None:
@@ -52,6 +55,7 @@
             client.writer.close()
             await until(lambda: not host.ingress.connections)
             assert list(host.journal.entries) == ["m"]
+
     run(work())
 
 
@@ -73,6 +77,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, end: Callable[[Host], None]
 ) -> None:
     """With a request of the client's that came too late unread just then."""
+
     async def work() -> None:
         async with World(tmp_path) as host, Client(host.ingress.port) as client:
             host.ingress.roomy = 0
@@ -87,6 +92,7 @@
             client.writer.close()
             await until(lambda: host.ingress.quit if end is not drain else not host.ingress.connections)
             assert "late" not in host.journal.entries
+
     run(work())
 
 
@@ -95,6 +101,7 @@
     tmp_path: Path, end: Callable[[Host], None]
 ) -> None:
     """It may not have read its answer yet: it reads once it has sent all."""
+
     async def work() -> None:
         async with World(tmp_path) as host, Client(host.ingress.port) as client:
             size = 1 << 20
@@ -105,13 +112,16 @@
             end(host)
             for part in range(1, 5):
                 client.writer.write(b"x" * (size // 4))
-                await until(lambda: connection.discarded == part * size // 4  # noqa: B023
-                            or not host.ingress.connections)
+                await until(
+                    lambda: connection.discarded == part * size // 4  # noqa: B023
+                    or not host.ingress.connections
+                )
                 assert connection in host.ingress.connections
             assert await client.status() == 413 and await client.reader.read() == b""
             client.writer.close()
             await until(lambda: not host.ingress.connections)
             assert not host.journal.entries
+
     run(work())
 
 
@@ -130,6 +140,7 @@
             client.writer.write(message("late"))
             await until(lambda: not host.ingress.connections)
             assert list(host.journal.entries) == ["m"]
+
     run(work())
 
 
@@ -164,6 +175,7 @@
             client.writer.write(message("n"))  # the loop is not left in between
             close(host, connection)
             assert await client.status() == 202 and "n" in host.journal.entries
+
     run(work())
 
 
@@ -178,6 +190,7 @@
     async def work() -> None:
         world = World(tmp_path)
         async with world as host, Client(host.ingress.port) as client:
+
             def hook(self: ClientConnection) -> None:
                 real(self)
                 client.writer.write(message("late"))
@@ -191,6 +204,7 @@
             await until(lambda: not host.ingress.connections and not host.held)
             assert list(host.journal.entries) == ["m"]
         assert [seen.headers["x-trace-id"] for seen in world.server.seen] == ["m"]
+
     run(work())
 
 
@@ -213,8 +227,10 @@
         async with Crossing(tmp_path) as world:
             host = world.host
             with ExitStack() as stack:
-                gone = [stack.enter_context(socket.create_connection(("127.0.0.1", host.ingress.port)))
-                        for _ in range(10)]
+                gone = [
+                    stack.enter_context(socket.create_connection(("127.0.0.1", host.ingress.port)))
+                    for _ in range(10)
+                ]
                 await until(lambda: len(host.ingress.connections) == 10)
 
                 def hook(self: ClientConnection, told: Request | Reply) -> Any:
@@ -234,6 +250,7 @@
             assert sorted(host.journal.entries) == sorted(world.at_kill().entries) == [*kept, "here"]
             assert sorted(seen.headers["x-trace-id"] for seen in world.server.seen) == [*kept, "here"]
             assert world.agent.notices.empty()
+
     run(work())
 
 
@@ -246,6 +263,7 @@
 
     async def work() -> None:
         async with Crossing(tmp_path) as world:
+
             def hook(self: ClientConnection, *events: Any) -> None:
                 found.append(list(world.at_kill().entries))
                 send(self, *events)
@@ -254,17 +272,21 @@
             async with Client(world.host.ingress.port) as client:
                 assert await client.ask(message("m")) == 202
             assert found == [["m"]]
+
     run(work())
 
 
 def test_a_burst_of_withdrawals_ends_calls_that_are_out_and_frees_their_slots(tmp_path: Path) -> None:
     """Their answers never went out; more of them than may be out at once, all in one turn."""
+
     async def work() -> None:
         async with Crossing(tmp_path) as world, Client(world.host.ingress.port) as usual:
             host, world.server.usual = world.host, None
             with ExitStack() as stack:
-                gone = [stack.enter_context(socket.create_connection(("127.0.0.1", host.ingress.port)))
-                        for _ in range(12)]
+                gone = [
+                    stack.enter_context(socket.create_connection(("127.0.0.1", host.ingress.port)))
+                    for _ in range(12)
+                ]
                 for number, sock in enumerate(gone):
                     sock.sendall(message(f"gone{number}"))
                 await until(lambda: len(host.held) == 12)
@@ -283,4 +305,5 @@
             assert list(world.at_kill().entries) == ["here"] and world.agent.notices.empty()
             host._step()  # the module's turn is a tick behind the calls' ends
             assert not host.relay.board.held and not host.relay.busy
+
     run(work())
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -59,10 +59,16 @@
     return d
 
 
-@pytest.mark.parametrize(("world", "work"), [
-    (knowing, drains), (knowing, count_ejected), (knowing, idle_turn), (waiting, drains),
-    (waiting, count_ejected),
-])
+@pytest.mark.parametrize(
+    ("world", "work"),
+    [
+        (knowing, drains),
+        (knowing, count_ejected),
+        (knowing, idle_turn),
+        (waiting, drains),
+        (waiting, count_ejected),
+    ],
+)
 def test_a_turn_costs_what_changes_and_not_what_is_known(
     world: Callable[[int], Driver], work: Callable[[Driver, int], object]
 ) -> None:
@@ -86,8 +92,16 @@
 
 def test_a_change_of_the_list_costs_the_directory_what_changes() -> None:
     def listed(n: int, life: str) -> dict[str, Any]:
-        return {"instanceId": f"s-{n}", "hostPort": "127.0.0.1:1", "zone": "z", "machineType": "k",
-                "cell": n // 3, "lifecycle": life, "weight": 1.0, "startedAtMs": 0}
+        return {
+            "instanceId": f"s-{n}",
+            "hostPort": "127.0.0.1:1",
+            "zone": "z",
+            "machineType": "k",
+            "cell": n // 3,
+            "lifecycle": life,
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
 
     costs = []
     for size in (FEW, MANY):
@@ -106,14 +120,19 @@
 
 def walked(d: Driver) -> set[int]:
     """By the definition: out, overdue, or with a failure that has not faded."""
-    return {ident for ident, door in d.relay.doors.items()
-            if suspect(door.lane, d.now) or any(d.now - at < FADE_MS for at in door.faults.values())}
+    return {
+        ident
+        for ident, door in d.relay.doors.items()
+        if suspect(door.lane, d.now) or any(d.now - at < FADE_MS for at in door.faults.values())
+    }
 
 
 def random_list(rng: random.Random, listed: dict[int, api.Endpoint], ids: list[int]) -> api.EndpointList:
     gone = rng.sample(sorted(listed), min(len(listed), rng.randint(0, 3)))
-    entries = [endpoint(i, listed.pop(i).destination, rng.choice([api.Listing.DRAINING, api.Listing.GONE]))
-               for i in gone]
+    entries = [
+        endpoint(i, listed.pop(i).destination, rng.choice([api.Listing.DRAINING, api.Listing.GONE]))
+        for i in gone
+    ]
     for _ in range(rng.randint(0, 3)):
         ids[0] += 1
         dest = rng.randint(1, 8)
@@ -148,9 +167,7 @@
 
 
 @given(st.lists(st.tuples(st.integers(0, 5), st.sampled_from(["put", "drop", "pass"]), st.integers(0, 40))))
-def test_the_agenda_tells_what_a_walk_over_all_times_would(
-    steps: list[tuple[int, str, int]]
-) -> None:
+def test_the_agenda_tells_what_a_walk_over_all_times_would(steps: list[tuple[int, str, int]]) -> None:
     agenda, times, now = Agenda(), dict[int, float](), 0.0
     for dest, what, number in steps:
         if what == "put":
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -80,6 +80,7 @@
     tmp_path: Path, moment: Callable[[Host, Callable[[], None]], None]
 ) -> None:
     """Its body is gone by then, and the journal has forgotten it."""
+
     async def work() -> None:
         async with World(tmp_path, BULK) as world:
             host = world.host
@@ -96,11 +97,13 @@
             host._step()
             assert len(world.server.seen) == 1 and not host.relay.board.held
             assert host.relay.lanes[7][-1].blame == 0.0 and world.agent.notices.empty()
+
     run(work())
 
 
 def test_an_id_whose_call_is_still_out_is_not_taken_on_again(tmp_path: Path) -> None:
     """Two copies of it would be out together."""
+
     async def work() -> None:
         async with World(tmp_path) as world:
             world.server.hold = asyncio.Event()
@@ -113,12 +116,14 @@
                 await until(lambda: not world.host.leaving)
                 assert await client.ask(message("m")) == 202
                 await until(lambda: len(world.server.seen) == 2)
+
     run(work())
 
 
 def test_a_message_that_came_again_under_its_id_outlives_its_first_connection(tmp_path: Path) -> None:
     """A close crossed the request, so its client sent it once more and heard that it is taken on; only then
     does the relay see the first connection's end, with an answer that was not read."""
+
     async def work() -> None:
         async with World(tmp_path) as world:
             host, world.server.hold = world.host, asyncio.Event()
@@ -135,6 +140,7 @@
                     world.server.hold.set()
                     await until(lambda: not host.held)
             assert host.journal.entries["m"].end == "delivered" and not host.repeated
+
     run(work())
 
 
@@ -205,6 +211,7 @@
         after(monkeypatch, "resume_writing", cuts)
         got = await made_by(cuts, egress(), server.sockets[0].getsockname(), body=big)
         assert got.outcome is outcome
+
     run(work())
 
 
@@ -216,6 +223,7 @@
         server, cuts = await Server().start(), cut(monkeypatch)
         after(monkeypatch, "_says", cuts)
         assert await made_by(cuts, egress(), server.address) == Answer(Outcome.OK, over=True)
+
     run(work())
 
 
@@ -233,6 +241,7 @@
         monkeypatch.setattr(Link, "send", hook)
         got = await made_by(cuts, egress(), server.address, careful=True)
         assert got.outcome is Outcome.CONNECT_FAILED and not server.seen
+
     run(work())
 
 
@@ -246,6 +255,7 @@
         assert (await calls.call(call(server.address))).outcome is Outcome.ERROR
         assert not calls.ending and not calls.idle
         await until(server.left)
+
     run(work())
 
 
@@ -279,6 +289,7 @@
 
 def test_no_turn_falls_into_the_end(tmp_path: Path) -> None:
     """It would begin calls that nobody ends."""
+
     async def work() -> None:
         settings = {**SETTINGS, "extra": {**SETTINGS["extra"], "call-slots": 1}}
         async with World(tmp_path, settings) as world:
@@ -302,6 +313,7 @@
             assert closing.is_set() and not any(held.call for held in host.held.values())
             found = Journal(world.state, 3_000_000).entries
             assert (found["out"].tries, found["waits"].tries) == (1, 0)
+
     run(work())
 
 
@@ -318,6 +330,7 @@
             new.writer.write(message("new"))  # its first request was on its way
             assert await new.status() == 202 and "connection: close" in new.head
             await until(lambda: ingress.quit)
+
     run(work())
 
 
@@ -336,13 +349,17 @@
                 assert await whole.status() == 202
                 assert await silent.reader.read() == b""
             assert "whole" in world.host.journal.entries and "half" not in world.host.journal.entries
+
     run(work())
 
 
 # -- what a restart finds ----------------------------------------------------------------------------------
 
-SMALL = {**SETTINGS, "extra": {**SETTINGS["extra"], "call-slots": 2},
-         "limits": {**SETTINGS["limits"], "open-cap": 12}}
+SMALL = {
+    **SETTINGS,
+    "extra": {**SETTINGS["extra"], "call-slots": 2},
+    "limits": {**SETTINGS["limits"], "open-cap": 12},
+}
 
 
 async def crowd_in(port: int, count: int) -> None:
@@ -355,6 +372,7 @@
 @pytest.mark.parametrize("beside", [False, True])
 def test_what_a_restart_finds_untried_is_tried_though_clients_crowd_in(tmp_path: Path, beside: bool) -> None:
     """After SIGKILL, alone or with another process that takes it up."""
+
     async def work() -> None:
         async with AsyncExitStack() as stack:
             world = World(tmp_path, SMALL)
@@ -384,11 +402,13 @@
             tried = {seen.headers["x-trace-id"] for seen in world.server.seen}
             assert found <= tried
             assert all(host.journal.entries[ident].end == "delivered" for ident in found)
+
     run(work())
 
 
 def test_no_byte_leaves_between_news_of_a_drain_and_the_turn_that_hears_of_it(tmp_path: Path) -> None:
     """The directory has the news at once, the decisions with their next turn, up to a tick later."""
+
     async def work() -> None:
         async with World(tmp_path) as world, Client(world.host.ingress.port) as client:
             host, world.server.usual = world.host, None
@@ -399,4 +419,5 @@
             assert host._may_write(number, held, endpoint)
             host.directory.apply(listing(world.server, generation=2, reset=False, state="draining"))
             assert not host._may_write(number, held, endpoint)
+
     run(work())
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -53,9 +53,13 @@
         self.log = self.config.with_name("log")
         with self.log.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "linnetstile", stderr=log,
+                sys.executable,
+                "-m",
+                "linnetstile",
+                stderr=log,
                 env={**os.environ, "RELAY_CONFIG": str(self.config), **more},
-                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS)))
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS)),
+            )
 
     @asynccontextmanager
     async def flood(self, says: bytes) -> AsyncIterator[None]:
@@ -88,6 +92,7 @@
 @pytest.mark.parametrize("says", [b"", b"POST", b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"])
 def test_a_flood_of_idle_clients_leaves_all_others_their_descriptors(tmp_path: Path, says: bytes) -> None:
     """While discovery is away, and at its return. No connection to anyone is kept: each needs a new one."""
+
     async def work() -> None:
         closes = answer(200, "Connection: close")
         agent, server, other = LostAgent(), Server(usual=closes), Server(usual=closes)
@@ -120,6 +125,7 @@
                 assert (await other.came.get()).headers["x-trace-id"] == "m2"
         assert await process.end(signal.SIGTERM) == 0
         assert "Too many open files" not in process.log.read_text()
+
     run(work())
 
 
@@ -145,11 +151,13 @@
             assert await client.ask(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n") == 200
         assert all(after - before >= 0.9 * SWEEP_S for before, after in itertools.pairwise(full.tries[:4]))
         taken.stop()
+
     run(work())
 
 
 def test_newcomers_hold_few_descriptors_until_it_is_known_who_may_stay() -> None:
     """And those that wait meanwhile are taken as soon as one is free."""
+
     async def work() -> None:
         taken = Ingress(lambda request: Reply(200), lambda ident: None, 2, 8, Invariants())
         taken.bind("127.0.0.1", 0)
@@ -174,6 +182,7 @@
         async with Client(taken.port) as client:
             assert await client.ask(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n") == 200
         taken.stop()
+
     run(work())
 
 
--- a/tests/test_discovery_return.py
+++ b/tests/test_discovery_return.py
@@ -101,7 +101,8 @@
         try:
             async with asyncio.timeout(seconds):
                 reply = await self.service.answer(
-                    int(told.get("from", -1)), int(told.get("hold_ms", 0)) / 1000, goes_on)
+                    int(told.get("from", -1)), int(told.get("hold_ms", 0)) / 1000, goes_on
+                )
         except TimeoutError as error:
             raise Silent("silent") from error
         if reply[0] == 200:
@@ -140,10 +141,19 @@
 
 
 @pytest.mark.parametrize(("relays", "seeds"), FLEETS)
-@pytest.mark.parametrize(("down", "cut_off", "all_in_s"), [
-    ("refused", False, 5.4), ("silent", False, 5.4), ("kept waiting", False, 5.4),
-    ("silent", True, 4.4),  # half of the time goes until the silence is noticed: less is left for the spread
-])
+@pytest.mark.parametrize(
+    ("down", "cut_off", "all_in_s"),
+    [
+        ("refused", False, 5.4),
+        ("silent", False, 5.4),
+        ("kept waiting", False, 5.4),
+        (
+            "silent",
+            True,
+            4.4,
+        ),  # half of the time goes until the silence is noticed: less is left for the spread
+    ],
+)
 def test_after_an_outage_each_relay_of_a_fleet_hears_of_a_change_in_time(
     relays: int, seeds: int, down: str, cut_off: bool, all_in_s: float
 ) -> None:
--- a/tests/test_emulator_experiments.py
+++ b/tests/test_emulator_experiments.py
@@ -89,35 +89,38 @@
     assert experiment.from_json(json.loads(runs.dumps(found.as_json()))) == found
 
 
-@pytest.mark.parametrize(("old", "new", "told"), [
-    ('name = "trial"', "", "name: is missing"),
-    ('name = "trial"', 'name = "../trial"', "name: '../trial' has to be lower case"),
-    ('measure = "planted"', "measure = 3", "measure: a text is needed, not 3"),
-    ('vary = "things"', 'vary = " "', "vary: a text is needed"),
-    ("sizes = [10, 20, 40, 80]", "sizes = [10, 20, 40]", "sizes: 4 at least are needed, not 3"),
-    ("sizes = [10, 20, 40, 80]", "sizes = [0, 20, 40, 80]", "sizes: 0 is too low"),
-    ("sizes = [10, 20, 40, 80]", "sizes = [10, 20, 20, 80]", "sizes: has to rise"),
-    ("sizes = [10, 20, 40, 80]", "sizes = [10.5, 20, 40, 80]", "sizes: a list of whole numbers"),
-    ("seeds = [1, 2, 3]", "seeds = [1, 2]", "seeds: 3 at least are needed, not 2"),
-    ("seeds = [1, 2, 3]", "seeds = [true, 2, 3]", "seeds: a list of whole numbers"),
-    ("timeout_s = 30.0", "timeout_s = 0", "timeout_s: a number above 0 is needed, not 0"),
-    ("total_timeout_s = 60.0", "total_timeout_s = inf", "total_timeout_s: a number above 0"),
-    ("total_timeout_s = 60.0", "", "total_timeout_s: is missing"),
-    ("target = 1000", "target = 0", "target: a whole number of 1 or more"),
-    ("target = 1000", "", "fit 1: limit: needs a target"),
-    ("target = 1000", "goal = 1000", "fit 1: limit: needs a target"),
-    ("target = 1000", "target = 1000\ngoal = 3", "goal: is not known"),
-    ("target = 1000", "target = 1000\ntimed = 1", "timed: true or false is needed, not 1"),
-    ("[params]\npower = 1", "params = 3", "params: a table is needed, not 3"),
-    ('shape = "linear"', 'shape = "round"', "fit 1: shape: 'round' is not known"),
-    ('shape = "linear"', "shape = [1]", "fit 1: shape: [1] is not known"),
-    ('why = "the test says so"', "", "fit 1: why: is missing"),
-    ("per_s = 2.0", "per_s = -1", "fit 1: per_s: a number above 0"),
-    ("per_s = 2.0", "tolerence = 1", "fit 1: tolerence: is not known"),
-    ('metric = "took_us"', 'metric = "work"', "fit: work is named twice"),
-    ('metric = "took_us"', "", "fit 2: metric: is missing"),
-    ('[[fit]]\nmetric = "took_us"', "[", "not TOML"),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "told"),
+    [
+        ('name = "trial"', "", "name: is missing"),
+        ('name = "trial"', 'name = "../trial"', "name: '../trial' has to be lower case"),
+        ('measure = "planted"', "measure = 3", "measure: a text is needed, not 3"),
+        ('vary = "things"', 'vary = " "', "vary: a text is needed"),
+        ("sizes = [10, 20, 40, 80]", "sizes = [10, 20, 40]", "sizes: 4 at least are needed, not 3"),
+        ("sizes = [10, 20, 40, 80]", "sizes = [0, 20, 40, 80]", "sizes: 0 is too low"),
+        ("sizes = [10, 20, 40, 80]", "sizes = [10, 20, 20, 80]", "sizes: has to rise"),
+        ("sizes = [10, 20, 40, 80]", "sizes = [10.5, 20, 40, 80]", "sizes: a list of whole numbers"),
+        ("seeds = [1, 2, 3]", "seeds = [1, 2]", "seeds: 3 at least are needed, not 2"),
+        ("seeds = [1, 2, 3]", "seeds = [true, 2, 3]", "seeds: a list of whole numbers"),
+        ("timeout_s = 30.0", "timeout_s = 0", "timeout_s: a number above 0 is needed, not 0"),
+        ("total_timeout_s = 60.0", "total_timeout_s = inf", "total_timeout_s: a number above 0"),
+        ("total_timeout_s = 60.0", "", "total_timeout_s: is missing"),
+        ("target = 1000", "target = 0", "target: a whole number of 1 or more"),
+        ("target = 1000", "", "fit 1: limit: needs a target"),
+        ("target = 1000", "goal = 1000", "fit 1: limit: needs a target"),
+        ("target = 1000", "target = 1000\ngoal = 3", "goal: is not known"),
+        ("target = 1000", "target = 1000\ntimed = 1", "timed: true or false is needed, not 1"),
+        ("[params]\npower = 1", "params = 3", "params: a table is needed, not 3"),
+        ('shape = "linear"', 'shape = "round"', "fit 1: shape: 'round' is not known"),
+        ('shape = "linear"', "shape = [1]", "fit 1: shape: [1] is not known"),
+        ('why = "the test says so"', "", "fit 1: why: is missing"),
+        ("per_s = 2.0", "per_s = -1", "fit 1: per_s: a number above 0"),
+        ("per_s = 2.0", "tolerence = 1", "fit 1: tolerence: is not known"),
+        ('metric = "took_us"', 'metric = "work"', "fit: work is named twice"),
+        ('metric = "took_us"', "", "fit 2: metric: is missing"),
+        ('[[fit]]\nmetric = "took_us"', "[", "not TOML"),
+    ],
+)
 def test_a_bad_file_is_refused_by_its_field(tmp_path: Path, old: str, new: str, told: str) -> None:
     assert old in GOOD
     found = run_file(tmp_path, GOOD.replace(old, new))
@@ -132,8 +135,25 @@
 )
 
 
-@given(st.sampled_from(["name", "measure", "vary", "sizes", "seeds", "timeout_s", "total_timeout_s", "fit",
-                        "target", "params", "timed", "other"]), junk)
+@given(
+    st.sampled_from(
+        [
+            "name",
+            "measure",
+            "vary",
+            "sizes",
+            "seeds",
+            "timeout_s",
+            "total_timeout_s",
+            "fit",
+            "target",
+            "params",
+            "timed",
+            "other",
+        ]
+    ),
+    junk,
+)
 def test_whatever_a_field_holds_it_is_taken_or_refused_by_name(field: str, value: object) -> None:
     table: dict[str, Any] = tomllib.loads(GOOD)
     table[field] = value
@@ -260,8 +280,10 @@
     assert run_file(tmp_path, GOOD, *look, "4", out="other").exit_code == 0
     first, again, other = linear[0], tmp_path / "again/trial.jsonl", tmp_path / "other/trial.jsonl"
     assert first.read_bytes() == again.read_bytes()
-    drawn = [{json.loads(line)["counted"]["drawn"] for line in path.read_text().splitlines()[1:]}
-             for path in (first, other)]
+    drawn = [
+        {json.loads(line)["counted"]["drawn"] for line in path.read_text().splitlines()[1:]}
+        for path in (first, other)
+    ]
     assert not drawn[0] & drawn[1]
 
 
@@ -342,8 +364,10 @@
     assert "no run gave it" in report.table(each, done)
 
 
-@pytest.mark.parametrize(("limit", "verdict"), [(2000.0, "holds by factor 1"), (6000.0, "holds by factor 3"),
-                                                (1000.0, "short by factor 2")])
+@pytest.mark.parametrize(
+    ("limit", "verdict"),
+    [(2000.0, "holds by factor 1"), (6000.0, "holds by factor 3"), (1000.0, "short by factor 2")],
+)
 def test_the_verdict_says_by_how_much(limit: float, verdict: str) -> None:
     each = experiment_from(GOOD.replace("limit = 500.0", f"limit = {limit}"))
     done = [Run(size, seed, {"work": float(size)}) for size in each.sizes for seed in each.seeds]
@@ -368,7 +392,9 @@
     other.write_text("".join(json.dumps(line) + "\n" for line in (heading, *lines)))
     found = invoke("experiment", "compare", linear[0], other)
     assert [line.split()[-1] for line in found.output.splitlines() if line.startswith("work")] == [
-        "2.000", "1.125"]
+        "2.000",
+        "1.125",
+    ]
     heading["experiment"]["params"] = {"power": 3}  # another thing was measured
     other.write_text("".join(json.dumps(line) + "\n" for line in (heading, *lines)))
     assert invoke("experiment", "compare", linear[0], other).exit_code == 2
@@ -377,14 +403,24 @@
 # -- the command line ------------------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("args", [
-    ["experiment", "run"], ["experiment", "run", "/nowhere.toml"], ["experiment", "table", "/nowhere.jsonl"],
-    ["experiment", "compare", "/nowhere.jsonl", "/nowhere.jsonl"], ["run-one", "nothing", "10", "1"],
-    ["run-one", "ejections", "0", "1"], ["run-one", "ejections", "10", "1", "--params", "["],
-    ["run-one", "ejections", "10", "1", "--params", "3"], ["measures", "--import", "no.such.module"],
-    ["experiment", "run", "ejections", "--sizes", "ten"], ["experiment", "run", "ejections", "--sizes", "10"],
-    ["experiment", "run", "ejections", "--jobs", "0"], ["experiment", "walk"],
-])
+@pytest.mark.parametrize(
+    "args",
+    [
+        ["experiment", "run"],
+        ["experiment", "run", "/nowhere.toml"],
+        ["experiment", "table", "/nowhere.jsonl"],
+        ["experiment", "compare", "/nowhere.jsonl", "/nowhere.jsonl"],
+        ["run-one", "nothing", "10", "1"],
+        ["run-one", "ejections", "0", "1"],
+        ["run-one", "ejections", "10", "1", "--params", "["],
+        ["run-one", "ejections", "10", "1", "--params", "3"],
+        ["measures", "--import", "no.such.module"],
+        ["experiment", "run", "ejections", "--sizes", "ten"],
+        ["experiment", "run", "ejections", "--sizes", "10"],
+        ["experiment", "run", "ejections", "--jobs", "0"],
+        ["experiment", "walk"],
+    ],
+)
 def test_bad_usage_ends_with_2(args: list[str]) -> None:
     found = invoke(*args)
     assert found.exit_code == 2 and "Traceback" not in found.output
@@ -408,8 +444,18 @@
     assert "list_drain\n    Ten of `size` endpoints begin to drain in one turn" in found.output
 
 
-@pytest.mark.parametrize("args", [[], ["experiment"], ["experiment", "run"], ["experiment", "table"],
-                                  ["experiment", "compare"], ["measures"], ["run-one"]])
+@pytest.mark.parametrize(
+    "args",
+    [
+        [],
+        ["experiment"],
+        ["experiment", "run"],
+        ["experiment", "table"],
+        ["experiment", "compare"],
+        ["measures"],
+        ["run-one"],
+    ],
+)
 def test_each_help_has_examples_or_commands_and_the_exit_codes(args: list[str]) -> None:
     found = invoke(*args, "--help")
     assert found.exit_code == 0 and "Exit codes: 0 ok; 1 a shape check or a run failed; 2" in found.output
@@ -469,7 +515,7 @@
 
 
 def test_the_whole_list_takes_more_memory_while_it_is_taken_than_it_keeps(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(module_measures, "SPEND_S", 0.0)
     monkeypatch.setattr(module_measures, "LEAST_TIMES", 1)
