--- a/tests/test_emulator_world.py
+++ b/tests/test_emulator_world.py
@@ -18,18 +18,41 @@
 from linnetstile.emulator.destinations import Destination, DestinationSettings, Health, bound
 from linnetstile.emulator.discovery import Discovery, DiscoverySettings, Outage, item
 from linnetstile.emulator.events import (
-    DestinationsDown, DiscoveryDown, Event, ListChanges, Machine, Region, RegionCut, RollingRestart,
+    DestinationsDown,
+    DiscoveryDown,
+    Event,
+    ListChanges,
+    Machine,
+    Region,
+    RegionCut,
+    RollingRestart,
 )
 from linnetstile.emulator.fleet import Scenario, run_fleet
 from linnetstile.emulator.fleet_measures import (
-    cold_return, discovery_return, fleet_control, fleet_service, region_cut, rolling_restart,
+    cold_return,
+    discovery_return,
+    fleet_control,
+    fleet_service,
+    region_cut,
+    rolling_restart,
 )
 from linnetstile.emulator.hollow import Shared, SharedDirectory
 from linnetstile.emulator.measure import MEASURES
 from linnetstile.emulator.network import Delays, EmulatedAgent, Network
 from linnetstile.interface import (
-    AttemptEnded, DestinationKind, Effect, Endpoint, EndpointList, Listing, ListKind, MessageClass, Outcome,
-    Rates, Safety, Scope, Settings,
+    AttemptEnded,
+    DestinationKind,
+    Effect,
+    Endpoint,
+    EndpointList,
+    Listing,
+    ListKind,
+    MessageClass,
+    Outcome,
+    Rates,
+    Safety,
+    Scope,
+    Settings,
 )
 from linnetstile.net.agent import AgentError, Silent
 from linnetstile.net.discovery import Directory, Watch
@@ -40,8 +63,10 @@
 
 
 def discovery(calls_per_s: float = 10.0, wait_ms: float = 1000.0, cost: bool = True) -> Discovery:
-    return Discovery(DiscoverySettings(calls_per_s, wait_ms, cost),
-                     [item(f"s-{number}", number, "a", 5.0) for number in range(3)])
+    return Discovery(
+        DiscoverySettings(calls_per_s, wait_ms, cost),
+        [item(f"s-{number}", number, "a", 5.0) for number in range(3)],
+    )
 
 
 # -- the clock -----------------------------------------------------------------------------------------------
@@ -239,8 +264,9 @@
 
 def test_where_lists_are_pushed_no_relay_waits_for_another() -> None:
     params = {"endpoints": 4, "calls_per_s": 1.0, "wait_ms": 100.0, "down_s": 5.0, "settle_s": 10.0}
-    shared, pushed = (discovery_return(params | {"pushed": on, "limit_s": 20.0}, 10, 1).counted
-                      for on in (False, True))
+    shared, pushed = (
+        discovery_return(params | {"pushed": on, "limit_s": 20.0}, 10, 1).counted for on in (False, True)
+    )
     assert shared["turned_away"] > 0 and shared["last_ms"] > 4000
     assert pushed["turned_away"] == pushed["unheard"] == 0 and pushed["last_ms"] < 4000
 
@@ -365,8 +391,10 @@
     assert found == served and wait == (200.0 if cost else 100.0)
 
 
-@pytest.mark.parametrize(("how", "resets", "answers"), [
-    (Health.DOWN, 1, []), (Health.SILENT, 0, []), (Health.ERRING, 0, [(Outcome.OK, 0.0)])])
+@pytest.mark.parametrize(
+    ("how", "resets", "answers"),
+    [(Health.DOWN, 1, []), (Health.SILENT, 0, []), (Health.ERRING, 0, [(Outcome.OK, 0.0)])],
+)
 def test_an_outage_breaks_what_is_open_or_leaves_it_without_an_answer(
     how: Health, resets: int, answers: list[tuple[Outcome, float]]
 ) -> None:
@@ -389,12 +417,22 @@
 
 SAFE, KEYED, UNSAFE = range(3)
 RULES = Settings(
-    classes=(MessageClass("event", Effect.SAFE, 1000.0, 5000.0),
-             MessageClass("charge", Effect.KEYED, 1000.0, 5000.0, key_window_ms=1000.0, key_scope=Scope.ZONE),
-             MessageClass("command", Effect.UNSAFE, 1000.0, 5000.0)),
-    kinds=(DestinationKind("m1"),), slots=4, hold=9, attempts=2, safety=SAFETY)
-HERE, THERE, OTHER = (Endpoint(1, 0, Listing.READY), Endpoint(2, 0, Listing.READY, zone=1),
-                      Endpoint(3, 1, Listing.READY))
+    classes=(
+        MessageClass("event", Effect.SAFE, 1000.0, 5000.0),
+        MessageClass("charge", Effect.KEYED, 1000.0, 5000.0, key_window_ms=1000.0, key_scope=Scope.ZONE),
+        MessageClass("command", Effect.UNSAFE, 1000.0, 5000.0),
+    ),
+    kinds=(DestinationKind("m1"),),
+    slots=4,
+    hold=9,
+    attempts=2,
+    safety=SAFETY,
+)
+HERE, THERE, OTHER = (
+    Endpoint(1, 0, Listing.READY),
+    Endpoint(2, 0, Listing.READY, zone=1),
+    Endpoint(3, 1, Listing.READY),
+)
 
 
 def watched(class_: int = SAFE) -> Checker:
@@ -442,38 +480,66 @@
 
 
 BREACHES: list[tuple[str, Callable[[], object], Callable[[], object]]] = [
-    ("second end", lambda: ended(ended(watched(), 10.0), 20.0),
-     lambda: ended(watched(), 10.0)),
-    ("sent after its end", lambda: tried(ended(watched(), 10.0), 20.0, Outcome.OK),
-     lambda: tried(watched(), 20.0, Outcome.OK)),
-    ("late end", lambda: ended(watched(), 5351.0),
-     lambda: ended(watched(), 5349.0)),
-    ("no end", lambda: watched().look(5351.0),
-     lambda: watched().look(5349.0)),
-    ("no end", lambda: died(watched(), 4000.0).look(6101.0),
-     lambda: died(watched(), 4000.0).look(6099.0)),
-    ("no end", lambda: watched().finish(9.0),
-     lambda: ended(watched(), 8.0).finish(9.0)),
-    ("two attempts out", lambda: out_at(out_at(watched(), 10.0), 20.0),
-     lambda: tried(tried(watched(), 10.0, Outcome.FULL), 20.0, Outcome.FULL)),
-    ("attempt limit", lambda: out_at(tried(tried(watched(), 1.0, Outcome.FULL), 20.0, Outcome.FULL), 40.0),
-     lambda: out_at(tried(watched(), 1.0, Outcome.FULL), 20.0)),
-    ("unsafe repeat", lambda: tried(tried(watched(UNSAFE), 1.0, Outcome.TIMEOUT), 20.0, Outcome.OK),
-     lambda: tried(tried(watched(UNSAFE), 1.0, Outcome.CONNECT_FAILED), 20.0, Outcome.OK)),
-    ("unsafe repeat", lambda: tried(died(out_at(watched(UNSAFE), 1.0), 20.0), 900.0, Outcome.OK),
-     lambda: tried(died(out_at(watched(SAFE), 1.0), 20.0), 900.0, Outcome.OK)),
-    ("key window", lambda: tried(tried(watched(KEYED), 1.0, Outcome.RESET), 1002.0, Outcome.OK),
-     lambda: tried(tried(watched(KEYED), 1.0, Outcome.RESET), 1000.0, Outcome.OK)),
-    ("key scope", lambda: tried(tried(watched(KEYED), 1.0, Outcome.RESET), 20.0, Outcome.OK, THERE),
-     lambda: tried(tried(watched(KEYED), 1.0, Outcome.FULL), 20.0, Outcome.OK, THERE)),
-    ("told wait", lambda: tried(waiting(watched()), 1489.0, Outcome.OK),
-     lambda: tried(waiting(watched()), 1490.0, Outcome.OK)),
-    ("told wait", lambda: tried(waiting(watched()), 1091.0, Outcome.OK),
-     lambda: tried(waiting(watched()), 1089.0, Outcome.OK)),
-    ("drained endpoint", lambda: tried(drained(watched(), 100.0), 2151.0, Outcome.OK),
-     lambda: tried(drained(watched(), 100.0), 2149.0, Outcome.OK)),
-    ("wrong endpoint", lambda: tried(watched(), 1.0, Outcome.OK, OTHER),
-     lambda: tried(watched(), 1.0, Outcome.OK, HERE)),
+    ("second end", lambda: ended(ended(watched(), 10.0), 20.0), lambda: ended(watched(), 10.0)),
+    (
+        "sent after its end",
+        lambda: tried(ended(watched(), 10.0), 20.0, Outcome.OK),
+        lambda: tried(watched(), 20.0, Outcome.OK),
+    ),
+    ("late end", lambda: ended(watched(), 5351.0), lambda: ended(watched(), 5349.0)),
+    ("no end", lambda: watched().look(5351.0), lambda: watched().look(5349.0)),
+    ("no end", lambda: died(watched(), 4000.0).look(6101.0), lambda: died(watched(), 4000.0).look(6099.0)),
+    ("no end", lambda: watched().finish(9.0), lambda: ended(watched(), 8.0).finish(9.0)),
+    (
+        "two attempts out",
+        lambda: out_at(out_at(watched(), 10.0), 20.0),
+        lambda: tried(tried(watched(), 10.0, Outcome.FULL), 20.0, Outcome.FULL),
+    ),
+    (
+        "attempt limit",
+        lambda: out_at(tried(tried(watched(), 1.0, Outcome.FULL), 20.0, Outcome.FULL), 40.0),
+        lambda: out_at(tried(watched(), 1.0, Outcome.FULL), 20.0),
+    ),
+    (
+        "unsafe repeat",
+        lambda: tried(tried(watched(UNSAFE), 1.0, Outcome.TIMEOUT), 20.0, Outcome.OK),
+        lambda: tried(tried(watched(UNSAFE), 1.0, Outcome.CONNECT_FAILED), 20.0, Outcome.OK),
+    ),
+    (
+        "unsafe repeat",
+        lambda: tried(died(out_at(watched(UNSAFE), 1.0), 20.0), 900.0, Outcome.OK),
+        lambda: tried(died(out_at(watched(SAFE), 1.0), 20.0), 900.0, Outcome.OK),
+    ),
+    (
+        "key window",
+        lambda: tried(tried(watched(KEYED), 1.0, Outcome.RESET), 1002.0, Outcome.OK),
+        lambda: tried(tried(watched(KEYED), 1.0, Outcome.RESET), 1000.0, Outcome.OK),
+    ),
+    (
+        "key scope",
+        lambda: tried(tried(watched(KEYED), 1.0, Outcome.RESET), 20.0, Outcome.OK, THERE),
+        lambda: tried(tried(watched(KEYED), 1.0, Outcome.FULL), 20.0, Outcome.OK, THERE),
+    ),
+    (
+        "told wait",
+        lambda: tried(waiting(watched()), 1489.0, Outcome.OK),
+        lambda: tried(waiting(watched()), 1490.0, Outcome.OK),
+    ),
+    (
+        "told wait",
+        lambda: tried(waiting(watched()), 1091.0, Outcome.OK),
+        lambda: tried(waiting(watched()), 1089.0, Outcome.OK),
+    ),
+    (
+        "drained endpoint",
+        lambda: tried(drained(watched(), 100.0), 2151.0, Outcome.OK),
+        lambda: tried(drained(watched(), 100.0), 2149.0, Outcome.OK),
+    ),
+    (
+        "wrong endpoint",
+        lambda: tried(watched(), 1.0, Outcome.OK, OTHER),
+        lambda: tried(watched(), 1.0, Outcome.OK, HERE),
+    ),
 ]
 
 
@@ -519,10 +585,18 @@
 FAULTS: list[tuple[str, str, Callable[..., Any], dict[str, Any]]] = [
     ("unsafe repeat", "_until", lambda self, held: held.due, {"destination": ERRING}),
     ("no end", "_close_late", never, {"events": (DestinationsDown(5.0, 20.0, 1.0, Health.SILENT),)}),
-    ("drained endpoint", "_listed", hears_of_no_changes,
-     {"events": (ListChanges(5.0, 18.0, 4.0, drain_s=30.0),)}),
-    ("told wait", "may_write", lambda self, now, ident: True,
-     {"limit_per_s": 0.2, "rates": Rates.NONE, "delays": Delays(cross_ms=200.0)}),
+    (
+        "drained endpoint",
+        "_listed",
+        hears_of_no_changes,
+        {"events": (ListChanges(5.0, 18.0, 4.0, drain_s=30.0),)},
+    ),
+    (
+        "told wait",
+        "may_write",
+        lambda self, now, ident: True,
+        {"limit_per_s": 0.2, "rates": Rates.NONE, "delays": Delays(cross_ms=200.0)},
+    ),
     ("told wait", "_ended", forgets_waits, {"limit_per_s": 0.2, "rates": Rates.NONE}),
 ]
 
@@ -578,8 +652,10 @@
 
 
 def test_a_region_that_dies_is_taken_up_by_its_new_processes() -> None:
-    result = run_fleet(replace(SMALL, events=(
-        DestinationsDown(8.0, 6.0, 0.5, Health.SILENT), Region(10.0, 0, down_s=2.0))), 1)
+    result = run_fleet(
+        replace(SMALL, events=(DestinationsDown(8.0, 6.0, 0.5, Health.SILENT), Region(10.0, 0, down_s=2.0))),
+        1,
+    )
     assert result.resumed > 0 and result.rerouted > 0 and result.turned_away == 0
     assert result.delivered + result.returned + result.failed == result.handed_in
 
@@ -615,9 +691,19 @@
 
 
 def test_the_same_seed_gives_the_same_run_byte_for_byte() -> None:
-    scenario = replace(SMALL, batch=3, discovery=DiscoverySettings(5.0, 500.0), events=(
-        DestinationsDown(6.0, 4.0, 0.3), ListChanges(2.0, 20.0, 1.0), Machine(9.0, 1, 2),
-        RegionCut(12.0, 1, 4.0), DiscoveryDown(17.0, 3.0), RollingRestart(20.0, 2, 3.0)))
+    scenario = replace(
+        SMALL,
+        batch=3,
+        discovery=DiscoverySettings(5.0, 500.0),
+        events=(
+            DestinationsDown(6.0, 4.0, 0.3),
+            ListChanges(2.0, 20.0, 1.0),
+            Machine(9.0, 1, 2),
+            RegionCut(12.0, 1, 4.0),
+            DiscoveryDown(17.0, 3.0),
+            RollingRestart(20.0, 2, 3.0),
+        ),
+    )
     first, again, other = (run_fleet(scenario, seed).text() for seed in (1, 1, 2))
     assert first == again != other
 
@@ -626,8 +712,14 @@
 
 
 def test_measures_are_registered_and_know_their_parameters() -> None:
-    names = ("discovery_return", "fleet_control", "fleet_service", "cold_return", "rolling_restart",
-             "region_cut")
+    names = (
+        "discovery_return",
+        "fleet_control",
+        "fleet_service",
+        "cold_return",
+        "rolling_restart",
+        "region_cut",
+    )
     for name in names:
         with pytest.raises(ValueError, match="relays, setle_s"):
             MEASURES[name]({"setle_s": 1.0, "relays": 3}, 2, 1)
@@ -642,12 +734,18 @@
     assert calm["bytes_per_s"] < changing["bytes_per_s"]
 
 
-COLD = {"destinations": 3, "zipf": 0.0, "total_per_s": 90.0, "headroom": 1.2, "duration_s": 35.0,
-        "tells_wait": False}
+COLD = {
+    "destinations": 3,
+    "zipf": 0.0,
+    "total_per_s": 90.0,
+    "headroom": 1.2,
+    "duration_s": 35.0,
+    "tells_wait": False,
+}
 
 
 def test_a_cold_return_shows_falls_only_where_relays_do_not_keep_to_the_cold_budget(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     kept = cold_return(COLD, 12, 1).counted
     assert kept["falls"] == 0 and kept["returns"] == kept["back_in_full"] == 1
@@ -668,8 +766,13 @@
 
 
 def test_a_region_that_was_cut_off_holds_a_backlog_and_works_it_off() -> None:
-    params = {"destinations": 9, "endpoints_each": 1, "per_relay_per_s": 4.0, "cut_s": 6.0,
-              "duration_s": 45.0}
+    params = {
+        "destinations": 9,
+        "endpoints_each": 1,
+        "per_relay_per_s": 4.0,
+        "cut_s": 6.0,
+        "duration_s": 45.0,
+    }
     seen = region_cut(params, 6, 1).counted
     assert seen["held_at_return"] > 2 * seen["held_before"] and seen["drained_after_ms"] > 0
     assert seen["calls_per_s_peak"] > seen["calls_per_s_before"]
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -43,26 +43,37 @@
     assert client_request.fault_of(head) is None and Name.compared <= 2000
 
 
-@pytest.mark.parametrize(("request_", "status"), [
-    (message("m").replace(b"\r\n\r\n", b"\r\n" + MANY + b"\r\n"), 431),
-    (message("m").replace(b"Content-Length: 5", b"Transfer-Encoding: chunked")[:-5]
-     + b"1\r\nx\r\n" * TINY + b"0\r\n\r\n", 400),
-], ids=["headers", "chunks"])
+@pytest.mark.parametrize(
+    ("request_", "status"),
+    [
+        (message("m").replace(b"\r\n\r\n", b"\r\n" + MANY + b"\r\n"), 431),
+        (
+            message("m").replace(b"Content-Length: 5", b"Transfer-Encoding: chunked")[:-5]
+            + b"1\r\nx\r\n" * TINY
+            + b"0\r\n\r\n",
+            400,
+        ),
+    ],
+    ids=["headers", "chunks"],
+)
 def test_thousands_of_tiny_parts_in_one_read_are_turned_away(
     tmp_path: Path, request_: bytes, status: int
 ) -> None:
     """They come whole, at once: no bound on what is unfinished stops them."""
+
     async def work() -> None:
         async with World(tmp_path) as host, Client(host.ingress.port) as client:
             assert await client.ask(request_) == status and "connection: close" in client.head
             async with Client(host.ingress.port) as other:
                 assert await other.ask(message("n")) == 202
             assert list(host.journal.entries) == ["n"]
+
     run(work())
 
 
 def test_a_longest_body_in_one_read_is_taken_on(tmp_path: Path) -> None:
     """Its head and its body are parsed in parts, and what follows them is still seen."""
+
     async def work() -> None:
         body = b"x" * client_request.BODY_BYTES
         world = World(tmp_path)
@@ -77,6 +88,7 @@
             assert set(host.journal.entries) == {"l", "m", "n", "o"}
             assert await client.ask(message("p", body=body[:12_000]) + b"\r\nno request") == 400
             assert "p" not in host.journal.entries
+
     run(work())
 
 
@@ -84,10 +96,12 @@
     return [stack.enter_context(socket.create_connection(("127.0.0.1", port))) for _ in range(count)]
 
 
-CHUNKS = (message("bad").replace(b"Content-Length: 5", b"Transfer-Encoding: chunked")[:-5]
-          + b"1\r\nx\r\n" * 40_000)
+CHUNKS = (
+    message("bad").replace(b"Content-Length: 5", b"Transfer-Encoding: chunked")[:-5] + b"1\r\nx\r\n" * 40_000
+)
 FLOOD = {
-    "no HTTP": b"\x16\x03\x01\x02\x00" * 13_107, "one long head": b"GET /" + b"a" * 65_531,
+    "no HTTP": b"\x16\x03\x01\x02\x00" * 13_107,
+    "one long head": b"GET /" + b"a" * 65_531,
     "chunks": CHUNKS,
 }
 
@@ -135,6 +149,7 @@
                     assert sock.recv(12) in (b"HTTP/1.1 400", b"HTTP/1.1 431")
             await until(lambda: len(host.ingress.connections) == 1)  # they have gone
             assert list(host.journal.entries) == ["m"]
+
     run(work())
 
 
@@ -185,4 +200,5 @@
                 assert connection.transport is not None
                 assert connection.transport.get_extra_info("socket").fileno() < 0  # given back
                 assert not {f"m{last}", "unread"} & set(host.journal.entries) and "m0" in host.journal.entries
+
     run(work())
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -15,8 +15,15 @@
 PLAIN = message("m")
 LINE = b"POST /safe HTTP/1.1"
 CHUNKED = PLAIN.replace(b"Content-Length: 5", b"Transfer-Encoding: Chunked")[:-5]
-NAMES = (b"Host", b"X-Trace-Id", b"X-Qos", b"X-Customer", b"X-Expires-In-Ms", b"X-Addressing",
-         b"Content-Length")
+NAMES = (
+    b"Host",
+    b"X-Trace-Id",
+    b"X-Qos",
+    b"X-Customer",
+    b"X-Expires-In-Ms",
+    b"X-Addressing",
+    b"Content-Length",
+)
 
 
 def named_in(case: str) -> bytes:
@@ -39,8 +46,8 @@
     "more in the address": PLAIN.replace(b"dest=7", b"zone=a; dest=7;shard=x"),
     "more headers": PLAIN.replace(b"\r\n\r\n", b"\r\nConnection: keep-alive\r\nAccept: */*\r\nX-Y:\r\n\r\n"),
     "in one chunk": CHUNKED + b"5\r\nhello\r\n0\r\n\r\n",
-    "in chunks with extensions and trailers":
-        CHUNKED + b"2;a=b\r\nhe\r\n03\r\nllo\r\n0;c\r\nX-Sum: 1\r\n\r\n",
+    "in chunks with extensions and trailers": CHUNKED
+    + b"2;a=b\r\nhe\r\n03\r\nllo\r\n0;c\r\nX-Sum: 1\r\n\r\n",
     "blank lines before it": b"\r\n\r\n" + PLAIN,
     "a blank line behind it": PLAIN + b"\r\n",
 }
@@ -74,9 +81,12 @@
             assert await client.ask(message("o")) == 202, client.text
             await until(lambda: not host.held)
             assert {entry.id: entry.body for entry in host.journal.entries.values()} == dict.fromkeys(
-                "mno", b"")
+                "mno", b""
+            )
         assert {seen.headers["x-trace-id"]: seen.body for seen in world.server.seen} == dict.fromkeys(
-            "mno", b"hello")
+            "mno", b"hello"
+        )
+
     run(work())
 
 
@@ -90,4 +100,5 @@
             await until(lambda: connection.unheard)
             host.ingress.stop()
             assert await client.reader.read() == b""  # closed between requests, with no answer to none
+
     run(work())
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -54,6 +54,7 @@
         await until(lambda: len(agent.seen) == 2)  # the watch goes on at once, on the same connection
         assert agent.opened == 1 and len(waits) == 1
         task.cancel()
+
     run(work())
 
 
@@ -125,16 +126,18 @@
     async def work() -> None:
         agent = Agent()
         await agent.start()
-        replaced, moved = (Watch(AgentLink(agent.address), Directory((), ()), lambda event: None, 40)
-                           for _ in range(2))
+        replaced, moved = (
+            Watch(AgentLink(agent.address), Directory((), ()), lambda event: None, 40) for _ in range(2)
+        )
         replaced.hurry()
         moved.move(AgentLink(agent.address))
         assert replaced.spread_s == moved.spread_s <= 2.0
+
     run(work())
 
 
 def test_a_watch_that_fell_silent_is_noticed_and_begun_anew_before_what_it_misses_counts_as_told(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Also in a fleet whose watches all fell silent, and however long discovery lets the new call wait."""
     agent = InMemory(200, 200, 200, 9.0, 9.0)  # silent for longer than any call waits
@@ -183,18 +186,33 @@
 @pytest.mark.parametrize("chunk", [0, 4096])
 def test_a_list_far_larger_than_a_mebibyte_is_taken_whole(chunk: int) -> None:
     """As 20,000 endpoints have it, in one piece or in the chunks in which servers write."""
+
     async def work() -> None:
         agent, heard = Agent(), asyncio.Event()
         await agent.start()
-        item = {"hostPort": "127.0.0.1:9", "zone": "z", "machineType": "k", "cell": 7, "lifecycle": "ready",
-                "weight": 1.0, "startedAtMs": 0}
-        body = json.dumps({"generation": 1, "reset": True, "instances": [
-            {"instanceId": f"s-{n:08x}", **item} for n in range(20_000)]}).encode()
+        item = {
+            "hostPort": "127.0.0.1:9",
+            "zone": "z",
+            "machineType": "k",
+            "cell": 7,
+            "lifecycle": "ready",
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
+        body = json.dumps(
+            {
+                "generation": 1,
+                "reset": True,
+                "instances": [{"instanceId": f"s-{n:08x}", **item} for n in range(20_000)],
+            }
+        ).encode()
         assert len(body) > 2 << 20
         if chunk:
-            parts = [body[at:at + chunk] for at in range(0, len(body), chunk)]
-            agent.changes.put_nowait(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n" + b"".join(
-                b"%x\r\n%s\r\n" % (len(part), part) for part in [*parts, b""]))
+            parts = [body[at : at + chunk] for at in range(0, len(body), chunk)]
+            agent.changes.put_nowait(
+                b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in [*parts, b""])
+            )
         else:
             agent.changes.put_nowait(answer(200, body=body.decode()))
         directory = Directory(("k",), ("z",))
@@ -203,4 +221,5 @@
         await heard.wait()
         task.cancel()
         assert len(directory.by_name) == 20_000
+
     run(work())
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -59,24 +59,34 @@
             assert (seen.headers["x-trace-id"], seen.headers["idempotency-key"]) == ("m1", "k-m1")
             await until(lambda: host.journal.entries["m1"].end == "delivered")
             assert not host.held and agent.notices.empty()
+
     run(work())
 
 
-@pytest.mark.parametrize(("request_", "status", "says"), [
-    (message("m", "safe", X_Qos="unsafe"), 400, "class"),
-    (message("m", "other"), 400, "class"),
-    (message("m", X_Customer="nobody"), 400, "X-Customer"),
-    (message("m", X_Addressing="dest=8"), 400, "destination 8"),
-    (message("m", X_Addressing="dest=-1"), 400, "dest=NUMBER"),
-    (message("m", X_Expires_In_Ms="soon"), 400, "X-Expires-In-Ms"),
-    (message("m", "keyed", Idempotency_Key=""), 400, "Idempotency-Key"),
-    (message("", ), 400, "X-Trace-Id"),
-    (message("m" * 201), 400, "X-Trace-Id"),
-    (message("m", body=b"x" * 65537), 413, "65536"),
-    (b"GET /safe HTTP/1.1\r\nHost: x\r\n\r\n", 405, "POST"),
-    (b"nonsense\r\n\r\n", 400, ""),
-    (b"GET / HTTP/1.1\r\nHost: x\r\nX-A: " + b"a" * 40000, 431, ""),
-])
+@pytest.mark.parametrize(
+    ("request_", "status", "says"),
+    [
+        (message("m", "safe", X_Qos="unsafe"), 400, "class"),
+        (message("m", "other"), 400, "class"),
+        (message("m", X_Customer="nobody"), 400, "X-Customer"),
+        (message("m", X_Addressing="dest=8"), 400, "destination 8"),
+        (message("m", X_Addressing="dest=-1"), 400, "dest=NUMBER"),
+        (message("m", X_Expires_In_Ms="soon"), 400, "X-Expires-In-Ms"),
+        (message("m", "keyed", Idempotency_Key=""), 400, "Idempotency-Key"),
+        (
+            message(
+                "",
+            ),
+            400,
+            "X-Trace-Id",
+        ),
+        (message("m" * 201), 400, "X-Trace-Id"),
+        (message("m", body=b"x" * 65537), 413, "65536"),
+        (b"GET /safe HTTP/1.1\r\nHost: x\r\n\r\n", 405, "POST"),
+        (b"nonsense\r\n\r\n", 400, ""),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nX-A: " + b"a" * 40000, 431, ""),
+    ],
+)
 def test_what_cannot_be_taken_is_answered_with_its_reason(
     state: Path, request_: bytes, status: int, says: str
 ) -> None:
@@ -86,6 +96,7 @@
             assert await client.ask(request_) == status and says in client.text
             assert not host.held and not host.journal.entries
         assert not server.seen
+
     run(work())
 
 
@@ -99,6 +110,7 @@
             assert await client.ask(message("n")) == 202
             await until(lambda: host.journal.entries["n"].end == "delivered")
         assert [seen.headers["x-trace-id"] for seen in server.seen] == ["m", "n"]
+
     run(work())
 
 
@@ -112,6 +124,7 @@
             (lane,) = host.relay.lanes[7].values()
             await until(lambda: lane.answers == 1)
             assert lane.total == 25.0  # the list said 50
+
     run(work())
 
 
@@ -132,13 +145,16 @@
             seen = await server.came.get()
             assert seen.target == "/inbox/bulk"
             assert sorted(seen.body.split(b"hello\r\n")) == [
-                b"", *(b"%s k-%s 5\r\n" % (name, name) for name in (b"m1", b"m2", b"m3"))]
+                b"",
+                *(b"%s k-%s 5\r\n" % (name, name) for name in (b"m1", b"m2", b"m3")),
+            ]
             again = await server.came.get()  # only what may not have run, and under its own key
             assert (again.target, again.headers["idempotency-key"]) == ("/inbox", "k-m3")
             await until(lambda: not host.held)
             ends = {name: entry.end for name, entry in host.journal.entries.items()}
             assert ends == {"m0": "delivered", "m1": "delivered", "m2": "over", "m3": "delivered"}
             assert host.journal.entries["m3"].tries == 2
+
     run(work())
 
 
@@ -157,6 +173,7 @@
             assert await client.ask(message("a", body=b"x" * 60000)) == 202
             assert await client.ask(message("b", body=b"x" * 60000)) == 503
             assert "b" not in host.journal.entries and await client.ask(message("c")) == 202
+
     run(work())
 
 
@@ -166,6 +183,7 @@
     async def work() -> None:
         agent, server = await pair()
         async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
+
             def no_space(*_: object) -> int:
                 raise OSError(errno.ENOSPC, "no space")
 
@@ -175,11 +193,13 @@
             assert not host.held and await client.ask(message("n")) == 202
             await until(lambda: host.journal.entries["n"].end == "delivered")
         assert [seen.headers["x-trace-id"] for seen in server.seen] == ["n"]
+
     run(work())
 
 
 def test_a_client_that_hangs_up_unanswered_leaves_no_message(state: Path) -> None:
     """Guards against second copies: it hands the message in again, under another id."""
+
     async def work() -> None:
         agent, server = await pair()
         async with relay(state, agent, server) as host:
@@ -192,6 +212,7 @@
             await until(lambda: not host.ingress.connections)
             assert list(host.journal.entries) == ["here"]
         assert [seen.headers["x-trace-id"] for seen in server.seen] == ["here"]
+
     run(work())
 
 
@@ -205,6 +226,7 @@
                 half.setblocking(False)
                 reply = await asyncio.get_running_loop().sock_recv(half, 1000)
             assert reply.startswith(b"HTTP/1.1 503 ")
+
     run(work())
 
 
@@ -220,6 +242,7 @@
             client.writer.transport.abort()
             await until(lambda: not host.ingress.connections)
             assert not host.held and "m" not in host.journal.entries
+
     run(work())
 
 
@@ -233,6 +256,7 @@
             await until(lambda: host.journal.entries["a"].out is None)
             assert await client.ask(message("b")) == 202
             assert min((await server.came.get()).at, (await server.came.get()).at) >= told + 0.4
+
     run(work())
 
 
@@ -254,6 +278,7 @@
             await until(lambda: host.directory.version == 3)
             assert len(host.directory.by_name) == 1
         assert len(old.seen) == 1
+
     run(work())
 
 
@@ -278,6 +303,7 @@
                 agent.tell(listing(server, generation=4))
                 await asyncio.sleep(0.02)
             assert len(host.directory.by_name) == 1
+
     run(work())
 
 
@@ -287,8 +313,13 @@
         async with relay(state, agent, server) as host:
             (name,) = host.directory.by_name
             other = {**listing(server)["instances"][0], "instanceId": "s-other"}
-            mangled = [None, {}, {**other, "instanceId": "s-x", "cell": "?"}, {**other, "hostPort": 7},
-                       {"instanceId": name, "lifecycle": "ready"}]
+            mangled = [
+                None,
+                {},
+                {**other, "instanceId": "s-x", "cell": "?"},
+                {**other, "hostPort": 7},
+                {"instanceId": name, "lifecycle": "ready"},
+            ]
             raw = {"generation": 2, "reset": True, "instances": [*mangled, other]}
             host.listed(host.directory.apply(raw))
             assert set(host.directory.by_name) == {name, "s-other"} and host.directory.version == 2
@@ -296,6 +327,7 @@
             last = {"instanceId": name, "lifecycle": "gone"}  # all that is needed to go
             event = host.directory.apply({"generation": 3, "reset": False, "instances": [last]})
             assert set(host.directory.by_name) == {"s-other"} and event.entries[0].listing.value == "gone"
+
     run(work())
 
 
@@ -321,12 +353,22 @@
             host._know_dests()
             directory, ingress, relay_ = host.directory, host.ingress, host.relay
             sizes: dict[str, Sized] = {
-                "held": host.held, "numbers": host.numbers, "entries": host.journal.entries,
-                "sizes": host.journal.sizes, "silent": ingress.silent, "resting": ingress.resting,
+                "held": host.held,
+                "numbers": host.numbers,
+                "entries": host.journal.entries,
+                "sizes": host.journal.sizes,
+                "silent": ingress.silent,
+                "resting": ingress.resting,
                 "visiting": ingress.visiting,
-                "lingering": ingress.lingering, "queues": relay_.board.queues, "look": relay_.board.agenda.at,
-                "lines": relay_.board.lines, "rest": relay_.key_rest, "ending": host.egress.ending,
-                "notices": host.notices.waiting, "events": host.events}
+                "lingering": ingress.lingering,
+                "queues": relay_.board.queues,
+                "look": relay_.board.agenda.at,
+                "lines": relay_.board.lines,
+                "rest": relay_.key_rest,
+                "ending": host.egress.ending,
+                "notices": host.notices.waiting,
+                "events": host.events,
+            }
             assert {name: len(what) for name, what in sizes.items() if len(what)} == {}
             assert len(directory.by_name) == len(directory.by_number) == len(host.egress.idle) == 1
             assert list(host.dests) == [] and list(directory.dests) == [39] and len(relay_.doors) == 1
@@ -335,6 +377,7 @@
             relay_._drop(host.now() + 60_000.0, relay_.doors.pop(next(iter(relay_.doors))))
             assert len(relay_.lanes) <= 1
             assert len(host.tasks.running) == 7  # watch, notices, watchdog, two that sweep, two that look
+
     run(work())
 
 
@@ -348,6 +391,7 @@
             assert await agent.notices.get() == {"id": "m", "state": "failed"}
             await until(lambda: host.journal.entries["m"].told)
         assert len(server.seen) == 1
+
     run(work())
 
 
@@ -365,6 +409,7 @@
         task.cancel()
         assert sorted(told) == ["m0", "m1", "m2"]
         assert agent.seen[0].body.splitlines()[0] == b'{"id": "m0", "state": "returned", "after_ms": 250}'
+
     run(work())
 
 
@@ -381,6 +426,7 @@
             async with Client(host.ingress.port) as other:
                 assert await other.ask(message("n")) == 202
                 await until(lambda: host.journal.entries["n"].end == "delivered")
+
     run(work())
 
 
@@ -389,8 +435,9 @@
 
 def entry(class_: str, age_ms: float = 1000.0, left_ms: float = 8000.0) -> Entry:
     now = now_ms()
-    return Entry("m", class_, "t", 7, "k-m" if class_ == "keyed" else None, now - age_ms, now + left_ms, "",
-                 b"kept")
+    return Entry(
+        "m", class_, "t", 7, "k-m" if class_ == "keyed" else None, now - age_ms, now + left_ms, "", b"kept"
+    )
 
 
 STEPS: list[tuple[str, str, dict[str, float], str]] = [
@@ -440,6 +487,7 @@
                 await until(lambda: host.journal.entries["m"].told)
             assert not host.held and bool(server.seen) == (end == "delivered")
             assert agent.notices.empty()
+
     run(work())
 
 
@@ -467,6 +515,7 @@
             await stopping
         after = Journal(state, 3_000_000).entries
         assert after["m"].end == after["late"].end == "delivered"
+
     run(work())
 
 
@@ -482,11 +531,13 @@
             await host.stop()
         (left,) = Journal(state, 3_000_000).entries.values()
         assert left.end == "" and left.tries == 1 and left.risk is not None and left.body == b"hello"
+
     run(work())
 
 
 def test_a_relay_whose_new_connections_are_turned_away_keeps_none(state: Path) -> None:
     """Others want its place: endpoints hold few."""
+
     async def work() -> None:
         agent, server = await pair()
         server.script += [answer(503, "Connection: close")] * 4
@@ -495,6 +546,7 @@
                 assert await client.ask(message(f"m{turn}")) == 202
             await until(lambda: not host.held)
             assert server.opened >= 5 and not any(host.egress.idle.values())
+
     run(work())
 
 
@@ -512,4 +564,5 @@
             assert (await server.came.get()).headers["x-trace-id"] == "m"
         async with relay(state, agent, server) as host:
             assert len(host.relay.doors) == 1  # it was ready again
+
     run(work())
--- a/tests/test_incident_1.py
+++ b/tests/test_incident_1.py
@@ -149,8 +149,13 @@
 
 
 CASES: list[Case] = [
-    no_space, half_writes, behind_a_torn_record, an_hour_on_while_it_runs, an_hour_back_over_a_kill,
-    an_hour_on_over_a_kill, a_start_on_a_failing_folder,
+    no_space,
+    half_writes,
+    behind_a_torn_record,
+    an_hour_on_while_it_runs,
+    an_hour_back_over_a_kill,
+    an_hour_on_over_a_kill,
+    a_start_on_a_failing_folder,
 ]
 
 
@@ -159,4 +164,5 @@
     async def work() -> None:
         async with fault_world(tmp_path) as (agent, server, process):
             await case(agent, server, process)
+
     run(work())
--- a/tests/test_incident_8311.py
+++ b/tests/test_incident_8311.py
@@ -61,9 +61,7 @@
         return reply
 
 
-async def all_kept_connections_fall_silent(
-    platform: Platform, server: Server, process: FaultProcess
-) -> None:
+async def all_kept_connections_fall_silent(platform: Platform, server: Server, process: FaultProcess) -> None:
     server.usual = answer(500)
     await process.start()
     platform.answers.clear()
@@ -99,9 +97,7 @@
     assert await soon(lambda: "moved" in successor.told_at, 3.0), "only the replaced platform was told"
 
 
-async def client_comes_again_after_the_end(
-    platform: Platform, server: Server, process: FaultProcess
-) -> None:
+async def client_comes_again_after_the_end(platform: Platform, server: Server, process: FaultProcess) -> None:
     server.usual = answer(500)
     await process.start()
     await process.hand_in(message("again", "unsafe"))
@@ -128,9 +124,7 @@
     assert len(server.seen) == calls, "a call went to an endpoint that the list no longer has"
 
 
-async def drain_told_to_the_process_before(
-    platform: Platform, server: Server, process: FaultProcess
-) -> None:
+async def drain_told_to_the_process_before(platform: Platform, server: Server, process: FaultProcess) -> None:
     """Lists are asked for here, so a new process may go on with the list that the relay has: not with the
     older one of its configuration."""
     other = await Server().start()
@@ -154,10 +148,16 @@
     assert len(server.seen) == calls, "a call went to an endpoint that drains, as the relay had been told"
 
 
-@pytest.mark.parametrize("case", [
-    all_kept_connections_fall_silent, replaced_platform_answers_last, client_comes_again_after_the_end,
-    old_list_at_the_start, drain_told_to_the_process_before,
-])
+@pytest.mark.parametrize(
+    "case",
+    [
+        all_kept_connections_fall_silent,
+        replaced_platform_answers_last,
+        client_comes_again_after_the_end,
+        old_list_at_the_start,
+        drain_told_to_the_process_before,
+    ],
+)
 def test_no_end_and_no_endpoint_rests_on_the_word_of_a_peer_that_no_longer_counts(
     tmp_path: Path, case: Case
 ) -> None:
@@ -170,4 +170,5 @@
             await case(platform, server, process)
         finally:
             process.kill()
+
     run(work())
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -58,6 +58,7 @@
             host.journal._forget("m")
             host.checks.message_sent(call(host), entry(host, class_, **more))
             assert host.invariants.breaches[rule] == 1 and sum(host.invariants.breaches.values()) == 1
+
     run(work())
 
 
@@ -72,6 +73,7 @@
             host.checks.sent.clear()
             host.checks.message_sent(out, made)
             assert host.invariants.breaches[Rule.SENT_TO_READY] == 1
+
     run(work())
 
 
@@ -85,6 +87,7 @@
             host.journal._forget("m")
             host._end(entry(host, due=0.0, out=None), "failed")
             assert host.invariants.breaches[Rule.END_IN_TIME] == 1
+
     run(work())
 
 
@@ -97,6 +100,7 @@
             (connection,) = host.ingress.connections
             connection.abort()
             assert host.invariants.breaches[Rule.ANSWERED] == host.invariants.broken == 1
+
     run(work())
 
 
@@ -111,4 +115,5 @@
                 assert await client.ask(message(ident)) == 202
                 await until(lambda: host.journal.entries[ident].end == "delivered")  # noqa: B023
             assert host.invariants.breaches[Rule.ANSWER_OF_REQUEST] == host.invariants.broken == 1
+
     run(work())
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -159,8 +159,15 @@
     assert kept.risk == Attempt(1500.0, "s-1", 0) and kept.out is None and kept.tries == 3
 
 
-@given(st.lists(st.tuples(st.sampled_from(["take", "try", "out", "ran", "end", "told", "drop", "compact"]),
-                          st.integers(0, 3)), max_size=40))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["take", "try", "out", "ran", "end", "told", "drop", "compact"]),
+            st.integers(0, 3),
+        ),
+        max_size=40,
+    )
+)
 def test_what_is_read_back_is_what_was_written(
     tmp_path_factory: pytest.TempPathFactory, steps: list[tuple[str, int]]
 ) -> None:
--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -34,6 +34,7 @@
     def write(file: int, data: bytes) -> int:
         real(file, data[: int(len(data) * keep)])
         raise OSError(errno.ENOSPC, "fault")
+
     return write
 
 
@@ -132,8 +133,16 @@
     Journal(tmp_path, DISK).close()
 
 
-@given(st.lists(st.tuples(st.sampled_from(["take", "try", "out", "end", "told", "compact"]),
-                          st.integers(0, 2), st.sampled_from([None, 0.0, 0.3, 1.0])), max_size=30))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["take", "try", "out", "end", "told", "compact"]),
+            st.integers(0, 2),
+            st.sampled_from([None, 0.0, 0.3, 1.0]),
+        ),
+        max_size=30,
+    )
+)
 def test_after_any_failed_writes_the_file_comes_to_say_what_memory_does(
     tmp_path_factory: pytest.TempPathFactory, steps: list[tuple[str, int, float | None]]
 ) -> None:
@@ -196,10 +205,28 @@
 
 def test_a_journal_of_an_earlier_version_keeps_its_spans(tmp_path: Path) -> None:
     unix = clock.wall_ms()
-    old = [{"k": "take", "id": "m", "class": "keyed", "tenant": "t", "dest": 7, "key": "key",
-            "since": unix - 1000, "due": unix + 7000, "again": "", "tries": 0, "out": None, "risk": None,
-            "end": "", "after": 0.0, "told": False, "given": False, "body": ""},
-           {"k": "try", "id": "m", "at": unix - 500, "ep": "s-1", "zone": 0}]
+    old = [
+        {
+            "k": "take",
+            "id": "m",
+            "class": "keyed",
+            "tenant": "t",
+            "dest": 7,
+            "key": "key",
+            "since": unix - 1000,
+            "due": unix + 7000,
+            "again": "",
+            "tries": 0,
+            "out": None,
+            "risk": None,
+            "end": "",
+            "after": 0.0,
+            "told": False,
+            "given": False,
+            "body": "",
+        },
+        {"k": "try", "id": "m", "at": unix - 500, "ep": "s-1", "zone": 0},
+    ]
     (tmp_path / "journal").write_bytes(b"".join(encode(record) for record in old))
     for _ in range(2):
         journal = Journal(tmp_path, DISK)
@@ -224,8 +251,10 @@
     package = Path(clock.__file__).parents[1]
     walls = ("time.time(", "time_ns(", "datetime", "CLOCK_REALTIME", "utcnow", "wall_ms(")
     allowed = {"net/clock.py": 2, "net/book.py": 1, "__main__.py": 1}  # definition, old journals, the log
-    found = {str(path.relative_to(package)): sum(path.read_text().count(wall) for wall in walls)
-             for path in package.rglob("*.py")}
+    found = {
+        str(path.relative_to(package)): sum(path.read_text().count(wall) for wall in walls)
+        for path in package.rglob("*.py")
+    }
     assert {name: count for name, count in found.items() if count} == allowed
 
 
--- a/tests/test_key_window.py
+++ b/tests/test_key_window.py
@@ -63,8 +63,10 @@
         left.tried(entry, BEGUN, f"s-{server.address[1]}", 0)
         left.close()
         clock[0] = BEGUN + age_ms
-        classes = [{**each, **({"window-ms": WINDOW_MS} if each["name"] == "keyed" else {})}
-                   for each in SETTINGS["classes"]]
+        classes = [
+            {**each, **({"window-ms": WINDOW_MS} if each["name"] == "keyed" else {})}
+            for each in SETTINGS["classes"]
+        ]
         host = host_of(state, agent, server, settings={**SETTINGS, "classes": classes})
         resume = host._resume
 
@@ -77,4 +79,5 @@
         assert (await agent.notices.get())["id"] == "m"
         assert not server.seen and not server.opened
         await host.close()
+
     run(work())
--- a/tests/test_list_confirmation.py
+++ b/tests/test_list_confirmation.py
@@ -64,7 +64,7 @@
 
 @pytest.mark.parametrize("between_ms", [1500.0, 3000.0])
 def test_a_second_change_of_address_does_not_put_off_what_counts_as_told_after_the_first(
-    between_ms: float
+    between_ms: float,
 ) -> None:
     driver = begun(ask=True)
     driver.feed(api.ListUnconfirmed(api.ListDoubt.MOVED))
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -48,6 +48,7 @@
 
 def a_send_is_not_carried_out(host: Host, monkeypatch: pytest.MonkeyPatch) -> None:
     """The decisions count the call as out, and no task makes it."""
+
     def failing(sends: list[api.Send]) -> None:
         if sends:
             raise RuntimeError("planted")
@@ -67,10 +68,15 @@
     monkeypatch.setattr(host, "_act", failing)
 
 
-@pytest.mark.parametrize("fault", [
-    the_turn_with_an_outcome_fails, the_turn_that_accepts_fails, a_send_is_not_carried_out,
-    an_action_before_it_fails,
-])
+@pytest.mark.parametrize(
+    "fault",
+    [
+        the_turn_with_an_outcome_fails,
+        the_turn_that_accepts_fails,
+        a_send_is_not_carried_out,
+        an_action_before_it_fails,
+    ],
+)
 def test_a_message_that_a_fault_of_ours_left_behind_ends_in_time(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, fault: Fault
 ) -> None:
@@ -86,6 +92,7 @@
         assert notice.get("id") == "m", "no end was told"
         assert time.monotonic() < due + LATE_S
         assert not host.held and host.journal.entries["m"].end
+
     run(with_host(tmp_path, work))
 
 
@@ -110,6 +117,7 @@
 ) -> None:
     """The record of an end may have to make room first: what is written for that still says the message as
     it was, so its body must not have been dropped yet."""
+
     async def work(host: Host, agent: Agent, server: Server) -> None:
         server.usual = None
         async with Client(host.ingress.port) as client:
@@ -126,6 +134,7 @@
         monkeypatch.setattr(host.journal, "_make_room", make_room)
         host._over(host.numbers["m"], "returned")
         assert found and set(found) == {b"all of it"}
+
     run(with_host(tmp_path, work))
 
 
@@ -147,11 +156,13 @@
             raise AssertionError("no end was told") from None
         breaches: dict[Any, int] = dict(host.invariants.breaches)
         assert breaches.get("left_behind") == 1
+
     run(with_host(tmp_path, work))
 
 
 def test_a_message_whose_outcome_waits_for_its_turn_is_not_left_behind(tmp_path: Path) -> None:
     """The process was held up past its time: the end of its call and the look at it come in one go."""
+
     async def work(host: Host, agent: Agent, server: Server) -> None:
         server.usual = None
         async with Client(host.ingress.port) as client:
@@ -169,4 +180,5 @@
         host._ended = late  # type: ignore[method-assign, assignment]
         assert (await agent.notices.get())["id"] == "m"
         assert not host.invariants.broken
+
     run(with_host(tmp_path, work))
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -23,14 +23,28 @@
     def cls(effect: api.Effect, scope: api.Scope, ordered: bool) -> api.MessageClass:
         return api.MessageClass("c", effect, 400.0, 4000.0, 1.0, 0.5, 1200.0, scope, ordered)
 
-    classes = draw(st.lists(
-        st.builds(cls, st.sampled_from(api.Effect), st.sampled_from([api.Scope.ALL, api.Scope.ZONE]),
-                  st.booleans()), min_size=1, max_size=3))
+    classes = draw(
+        st.lists(
+            st.builds(
+                cls,
+                st.sampled_from(api.Effect),
+                st.sampled_from([api.Scope.ALL, api.Scope.ZONE]),
+                st.booleans(),
+            ),
+            min_size=1,
+            max_size=3,
+        )
+    )
     return make_settings(
-        classes=tuple(classes), kinds=(api.DestinationKind("k", routes_apart=draw(st.booleans())),),
-        slots=draw(st.integers(1, 6)), hold=draw(st.integers(5, 30)), attempts=draw(st.integers(1, 5)),
-        ask_for_list=draw(st.booleans()), rates=draw(st.sampled_from(api.Rates)),
-        decay=draw(st.sampled_from(api.Decay)), marks_repeats=draw(st.booleans()),
+        classes=tuple(classes),
+        kinds=(api.DestinationKind("k", routes_apart=draw(st.booleans())),),
+        slots=draw(st.integers(1, 6)),
+        hold=draw(st.integers(5, 30)),
+        attempts=draw(st.integers(1, 5)),
+        ask_for_list=draw(st.booleans()),
+        rates=draw(st.sampled_from(api.Rates)),
+        decay=draw(st.sampled_from(api.Decay)),
+        marks_repeats=draw(st.booleans()),
     )
 
 
@@ -73,8 +87,16 @@
                 events.append(api.AttemptEnded(ident, number, send.endpoint, outcome, 80.0, finished, wait))
         if rng.random() < 0.4 and step < 120:
             ids += 1
-            events.append(api.Message(ids, rng.choice([1, 2, 3]), rng.randrange(len(setup.classes)),
-                                      rng.choice([300.0, 2000.0, 4000.0]), 0, rng.choice([0, 7, 8])))
+            events.append(
+                api.Message(
+                    ids,
+                    rng.choice([1, 2, 3]),
+                    rng.randrange(len(setup.classes)),
+                    rng.choice([300.0, 2000.0, 4000.0]),
+                    0,
+                    rng.choice([0, 7, 8]),
+                )
+            )
         if rng.random() < 0.03:
             kind = rng.choice(list(api.ListKind))
             part = rng.sample(listed, 2)
@@ -95,8 +117,13 @@
         api.MessageClass("o", api.Effect.SAFE, 400.0, 4000.0, in_order=True),
     )
     watch = Checker(make_settings(classes=classes, **more))
-    watch.event(0.0, api.EndpointList(api.ListKind.CACHED, tuple(
-        api.Endpoint(e, 1, api.Listing.READY, 0, z, 2.0) for e, z in ((11, 0), (12, 1)))))
+    watch.event(
+        0.0,
+        api.EndpointList(
+            api.ListKind.CACHED,
+            tuple(api.Endpoint(e, 1, api.Listing.READY, 0, z, 2.0) for e, z in ((11, 0), (12, 1))),
+        ),
+    )
     for ident, class_ in enumerate([0, 1, 2, 2]):
         watch.event(0.0, api.Message(ident, 1, class_, 4000.0, 0, 7))
     return watch
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -78,26 +78,33 @@
 
 @pytest.fixture
 def door() -> Any:
-    opened = Door({"/-/ready": Call("GET", lambda: Answer(200, "ready")),
-                   "/-/drain": Call("POST", lambda: Answer(200, "draining"))})
+    opened = Door(
+        {
+            "/-/ready": Call("GET", lambda: Answer(200, "ready")),
+            "/-/drain": Call("POST", lambda: Answer(200, "draining")),
+        }
+    )
     opened.open(("127.0.0.1", 0))
     yield opened
     opened.close()
 
 
-@pytest.mark.parametrize(("data", "status", "says"), [
-    (request("GET", "/-/ready"), 200, "\r\n\r\nready\n"),
-    (request("GET", "/-/ready?x=1"), 200, "\r\n\r\nready\n"),
-    (request("POST", "/-/ready"), 405, "Allow: GET\r\n"),
-    (request("GET", "/-/drain"), 405, "Allow: POST\r\n"),
-    (request("HEAD", "/-/ready"), 405, "Allow: GET\r\n"),
-    (request("GET", "/"), 404, "/-/ready"),
-    (b"rubbish\r\n\r\n", 400, ""),
-    (b"\x16\x03\x01" + bytes(200) + b"\r\n\r\n", 400, ""),
-    (b"GET /-/ready HTTP/1.1\r\n\r\n", 400, ""),  # no Host
-    (b"POST /-/drain HTTP/1.1\r\nHost: x\r\nContent-Length: 99999\r\n\r\n" + bytes(9000), 413, ""),
-    (b"GET / HTTP/1.1\r\nHost: x\r\nX: " + b"a" * 9000, 413, ""),
-])
+@pytest.mark.parametrize(
+    ("data", "status", "says"),
+    [
+        (request("GET", "/-/ready"), 200, "\r\n\r\nready\n"),
+        (request("GET", "/-/ready?x=1"), 200, "\r\n\r\nready\n"),
+        (request("POST", "/-/ready"), 405, "Allow: GET\r\n"),
+        (request("GET", "/-/drain"), 405, "Allow: POST\r\n"),
+        (request("HEAD", "/-/ready"), 405, "Allow: GET\r\n"),
+        (request("GET", "/"), 404, "/-/ready"),
+        (b"rubbish\r\n\r\n", 400, ""),
+        (b"\x16\x03\x01" + bytes(200) + b"\r\n\r\n", 400, ""),
+        (b"GET /-/ready HTTP/1.1\r\n\r\n", 400, ""),  # no Host
+        (b"POST /-/drain HTTP/1.1\r\nHost: x\r\nContent-Length: 99999\r\n\r\n" + bytes(9000), 413, ""),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nX: " + b"a" * 9000, 413, ""),
+    ],
+)
 def test_each_call_gets_one_answer_and_an_end(door: Door, data: bytes, status: int, says: str) -> None:
     with socket.create_connection(("127.0.0.1", door.port), timeout=30) as sock:
         sock.sendall(data)
@@ -148,6 +155,7 @@
             threading.Thread(target=operator, daemon=True).start()
             assert done.wait(30)  # this holds the loop: an answer from there would never come
             assert told == [200, 200, 200] and host.draining
+
     run(work())
 
 
@@ -159,6 +167,7 @@
             assert (await call(host, "GET", "/-/ready")) == (503, "takes no clients: starting\n")
             host.ready, host.stopping = True, True
             assert (await call(host, "GET", "/-/ready")) == (503, "takes no clients: stopping\n")
+
     run(work())
 
 
@@ -166,10 +175,17 @@
     async def work() -> None:
         async with world(tmp_path) as (agent, server, host), Client(host.ingress.port) as client:
             assert await figures(host) == {
-                **{f"{what}.{name}": 0 for what in ("ok", "shed", "errors", "tries")
-                   for name in ("keyed", "unsafe", "safe")}, "active": 0, "pool_size": 1, "pool_ejected": 0,
+                **{
+                    f"{what}.{name}": 0
+                    for what in ("ok", "shed", "errors", "tries")
+                    for name in ("keyed", "unsafe", "safe")
+                },
+                "active": 0,
+                "pool_size": 1,
+                "pool_ejected": 0,
                 **{f"unsolicited.{peer}.{position}": 0 for peer in Peer for position in Position},
-                **{f"breaches.{rule}": 0 for rule in Rule}}
+                **{f"breaches.{rule}": 0 for rule in Rule},
+            }
             assert await client.ask(message("a")) == 202
             await until(lambda: host.journal.entries["a"].end == "delivered")
             assert await client.ask(message("a")) == 202  # the same one again
@@ -181,12 +197,18 @@
             await until(lambda: len(server.seen) == 3)
             seen = await figures(host)
             assert {name: value for name, value in seen.items() if value and "pool" not in name} == {
-                "ok.safe": 1, "errors.unsafe": 1, "tries.safe": 1, "tries.unsafe": 1, "tries.keyed": 1,
-                "active": 1}
+                "ok.safe": 1,
+                "errors.unsafe": 1,
+                "tries.safe": 1,
+                "tries.unsafe": 1,
+                "tries.keyed": 1,
+                "active": 1,
+            }
             server.hold.set()
             await until(lambda: not host.held)
             seen = await figures(host)
             assert (seen["ok.keyed"], seen["active"]) == (1, 0)
+
     run(work())
 
 
@@ -207,6 +229,7 @@
             assert await client.ask(message("o", "keyed")) == 503
             assert (await figures(host))["shed.keyed"] == 2
             server.hold.set()
+
     run(work())
 
 
@@ -261,6 +284,7 @@
             async with Client(port) as back:
                 for _ in range(3):
                     assert await back.ask(HEALTH) == 200 and "connection: close" not in back.head
+
     run(work())
 
 
@@ -277,13 +301,13 @@
             server.hold.set()
             await stop
             assert host.journal.entries["m"].end == "delivered"
+
     run(work())
 
 
 def test_mgmt_is_read_from_the_file_and_before_it_from_the_environment(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
-    path.write_text(json.dumps(
-        raw_config(tmp_path, Agent(address=("127.0.0.1", 1)), mgmt="127.0.0.1:12000")))
+    path.write_text(json.dumps(raw_config(tmp_path, Agent(address=("127.0.0.1", 1)), mgmt="127.0.0.1:12000")))
     assert load({"RELAY_CONFIG": str(path)}).mgmt == ("127.0.0.1", 12000)
     assert load({"RELAY_CONFIG": str(path), "RELAY_MGMT": "127.0.0.2:9"}).mgmt == ("127.0.0.2", 9)
     with pytest.raises(ConfigError):
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -52,9 +52,17 @@
         monkeypatch.setattr(AgentLink, "ask", ask)
 
 
-@pytest.mark.parametrize("does", [
-    ("silent",), ("silent", "silent"), ("late",), ("late", "silent"), ("reset",), ("silent", "reset"),
-])
+@pytest.mark.parametrize(
+    "does",
+    [
+        ("silent",),
+        ("silent", "silent"),
+        ("late",),
+        ("late", "silent"),
+        ("reset",),
+        ("silent", "reset"),
+    ],
+)
 def test_an_end_is_told_in_time_whatever_the_first_connections_do(
     does: tuple[str, ...], monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -72,6 +80,7 @@
         assert platform.came["a"] < TOO_LATE_S and platform.came["b"] < 0.01 + TOO_LATE_S
         assert not notices.waiting and len(notices.free) == outcomes.WAYS
         task.cancel()
+
     run_virtual(work())
 
 
@@ -85,11 +94,12 @@
         await asyncio.sleep(10.0)
         assert platform.requests <= outcomes.WAYS * 10.0 / outcomes.ANSWER_S
         task.cancel()
+
     run_virtual(work())
 
 
 def test_a_notice_goes_out_again_while_its_first_answer_is_waited_for(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """On sockets: the first connection takes it and never answers, and is waited for as long as this runs."""
     monkeypatch.setattr(outcomes, "ANSWER_S", 600.0)
@@ -110,6 +120,7 @@
         task.cancel()
         notices.close()
         await until(agent.left)
+
     run(work())
 
 
@@ -133,6 +144,7 @@
         assert told == ["a"] and len(agent.seen) == 2
         task.cancel()
         notices.close()
+
     run(work())
 
 
@@ -157,6 +169,7 @@
         await asyncio.sleep(5.0)
         assert platform.came["new"] - begun < TOO_LATE_S
         task.cancel()
+
     run_virtual(work())
 
 
@@ -215,6 +228,7 @@
     monkeypatch: pytest.MonkeyPatch, ends: bool
 ) -> None:
     """Its connection brings bytes, or ends, right behind it. The first answer on one is beyond doubt."""
+
     async def work() -> None:
         peer = Peer(Behaviour(0.0, 0.0, (answer(204),), b"", 0.0))
         opened = connect(peer, monkeypatch)
@@ -237,6 +251,7 @@
         idents = [body.split(b'"')[3].decode() for body in peer.whole]
         assert idents == ["a", "b", "c", "d", "e", "e"]
         task.cancel()
+
     run_virtual(work())
 
 
@@ -253,11 +268,12 @@
             assert len(told) == number + 1
         assert 1 < len(opened) < outcomes.WAYS, "those that have rested are used again"
         task.cancel()
+
     run_virtual(work())
 
 
 def test_a_notice_waits_for_a_rest_that_is_shorter_than_a_new_connection_takes(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def work() -> None:
         peer = Peer(Behaviour(0.015, 0.0, (answer(204),), b"", 0.0))
@@ -272,4 +288,5 @@
         await asyncio.sleep(0.07)
         assert told == ["first", "second"] and len(opened) == 1
         task.cancel()
+
     run_virtual(work())
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -50,6 +50,7 @@
                 assert await ended(client)
             else:
                 assert await client.ask(HEALTH) == 200
+
     run(work())
 
 
@@ -62,6 +63,7 @@
             await until(lambda: not host.held)
             assert list(host.journal.entries) == ["m"]
         assert len(world.server.seen) == 1
+
     run(work())
 
 
@@ -74,11 +76,13 @@
             assert [await client.status(), await client.status()] == [202, 400]
             assert "connection: close" in client.head and await ended(client)
             assert list(host.journal.entries) == ["a"]
+
     run(work())
 
 
-@pytest.mark.parametrize("part", [
-    b"P", b"POST", b"POST ", b"POST /safe", b"POST /safe HT", b"POST /safe HTTP/1.1\r"])
+@pytest.mark.parametrize(
+    "part", [b"P", b"POST", b"POST ", b"POST /safe", b"POST /safe HT", b"POST /safe HTTP/1.1\r"]
+)
 def test_half_a_request_behind_another_is_waited_for(tmp_path: Path, part: bytes) -> None:
     async def work() -> None:
         async with World(tmp_path) as host, Client(host.ingress.port) as client:
@@ -86,8 +90,9 @@
             assert second.startswith(part)
             client.writer.write(message("a") + part)
             assert await client.status() == 202 and "connection: close" not in client.head
-            client.writer.write(second[len(part):])
+            client.writer.write(second[len(part) :])
             assert await client.status() == 202
+
     run(work())
 
 
@@ -104,6 +109,7 @@
             answers = [await client.status() for _ in range(40)]
             assert len(answers) == 40 and "connection: close" in client.head
             assert await ended(client)
+
     run(work())
 
 
@@ -142,6 +148,7 @@
                 tracemalloc.stop()
             await until(lambda: len(host.ingress.connections) == 1)  # they have gone
             assert list(host.journal.entries) == ["m"]
+
     run(work())
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -85,6 +85,7 @@
         assert (await server.came.get()).headers["x-trace-id"] == "s"
         assert await process.end(signal.SIGTERM) == 0
         assert len(server.seen) == 3 and agent.notices.empty()
+
     run(work())
 
 
@@ -99,6 +100,7 @@
         await until(lambda: {seen.headers["x-trace-id"] for seen in server.seen} == {"m0", "m1", "m2"})
         await process.end(signal.SIGTERM)
         assert all(each.end == "delivered" for each in Journal(process.state, 3_000_000).entries.values())
+
     run(work())
 
 
@@ -115,6 +117,7 @@
         await process.start()
         assert await agent.notices.get() == {"id": "u", "state": "failed"}
         assert await process.end(signal.SIGTERM) == 0
+
     run(work())
 
 
@@ -131,8 +134,11 @@
         server.hold.set()
         assert await process.process.wait() == 0
         assert {ident: each.end for ident, each in Journal(process.state, 3_000_000).entries.items()} == {
-            "u": "delivered", "v": "delivered"}
+            "u": "delivered",
+            "v": "delivered",
+        }
         assert len(server.seen) == 2 and agent.notices.empty()
+
     run(work())
 
 
@@ -141,12 +147,19 @@
         _, _, process = await world(tmp_path)
         await process.start()
         assert await process.end(signal.SIGTERM) == 0
+
     run(work())
 
 
-@pytest.mark.parametrize("signals", [
-    (signal.SIGTERM, signal.SIGTERM), (signal.SIGHUP, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP),
-    (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)])
+@pytest.mark.parametrize(
+    "signals",
+    [
+        (signal.SIGTERM, signal.SIGTERM),
+        (signal.SIGHUP, signal.SIGTERM),
+        (signal.SIGTERM, signal.SIGHUP),
+        (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM),
+    ],
+)
 def test_signals_on_one_anothers_heels_end_it_once_and_with_0(
     tmp_path: Path, signals: tuple[signal.Signals, ...]
 ) -> None:
@@ -158,6 +171,7 @@
             process.process.send_signal(each)
         assert await process.process.wait() == 0
         assert Journal(process.state, 3_000_000).entries["m"].end == "delivered" and len(server.seen) == 1
+
     run(work())
 
 
@@ -167,11 +181,13 @@
         await process.begin()
         await until((process.state / "journal").exists)  # made after the signals' handlers, before it serves
         assert await process.end(signal.SIGTERM) == 0
+
     run(work())
 
 
 def test_sighup_moves_the_watch_and_the_notices_to_the_new_agent(tmp_path: Path) -> None:
     """Guards against a process that ends on SIGHUP, and against one that waits on the agent that goes."""
+
     async def work() -> None:
         old, server, process = await world(tmp_path)
         server.usual, old.script = answer(500), deque([None] * 100)  # the old agent takes no notice
@@ -191,6 +207,7 @@
         await process.hand_in(message("v"))
         assert (await other.came.get()).headers["x-trace-id"] == "v"
         assert await process.end(signal.SIGTERM) == 0
+
     run(work())
 
 
@@ -216,25 +233,29 @@
         server.hold.set()
         assert await new.notices.get() == {"id": "m", "state": "failed"}
         assert await process.process.wait() == 0
+
     run(work())
 
 
-@pytest.mark.parametrize(("change", "says"), [
-    ({"listen": "nowhere"}, "HOST:PORT"),
-    ({"settings": {}}, "settings"),
-    ({"settings": None}, "config.json"),
-    ({"seed": "xyz"}, "config.json"),
-    ({"limits": {"disk_mb": 1e999}}, "config.json"),
-    ({"limits": {"sockets": 1e999}}, "config.json"),
-    ({"limits": None}, "config.json"),
-    ({"known": 7}, "config.json"),
-    ({"settings": {**SETTINGS, "tick-ms": 0}}, "tick_ms"),
-    ({"settings": {**SETTINGS, "extra": {"call-slots": "8"}}}, "settings"),
-    ({"settings": {**SETTINGS, "zones": 3}}, "config.json"),
-    ([], "config.json"),
-    ({"state": ""}, "state is missing"),
-    (None, "config.json"),
-])
+@pytest.mark.parametrize(
+    ("change", "says"),
+    [
+        ({"listen": "nowhere"}, "HOST:PORT"),
+        ({"settings": {}}, "settings"),
+        ({"settings": None}, "config.json"),
+        ({"seed": "xyz"}, "config.json"),
+        ({"limits": {"disk_mb": 1e999}}, "config.json"),
+        ({"limits": {"sockets": 1e999}}, "config.json"),
+        ({"limits": None}, "config.json"),
+        ({"known": 7}, "config.json"),
+        ({"settings": {**SETTINGS, "tick-ms": 0}}, "tick_ms"),
+        ({"settings": {**SETTINGS, "extra": {"call-slots": "8"}}}, "settings"),
+        ({"settings": {**SETTINGS, "zones": 3}}, "config.json"),
+        ([], "config.json"),
+        ({"state": ""}, "state is missing"),
+        (None, "config.json"),
+    ],
+)
 def test_bad_configuration_ends_with_one_line_and_2(
     tmp_path: Path, change: dict[str, Any] | list[Any] | None, says: str
 ) -> None:
@@ -243,7 +264,12 @@
         raw = raw_config(tmp_path, Agent(address=("127.0.0.1", 1)))
         path.write_text(json.dumps({**raw, **change} if isinstance(change, dict) else change))
     env = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
-    done = subprocess.run([sys.executable, "-m", "linnetstile"], capture_output=True, text=True, timeout=60,
-                          env={**env, "RELAY_CONFIG": str(path)})
+    done = subprocess.run(
+        [sys.executable, "-m", "linnetstile"],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env={**env, "RELAY_CONFIG": str(path)},
+    )
     assert done.returncode == 2 and done.stderr.count("\n") == 1
     assert says in done.stderr and "Traceback" not in done.stderr
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -170,7 +170,7 @@
     old.tried(old.entries["out"], 1500.0, "s-1", 0)
     old.ended(old.entries["ended"], "delivered")
     old.ended(old.entries["owed"], "failed")
-    os.write(old.file, b"00000000 {\"k\":\"dr")  # a torn record
+    os.write(old.file, b'00000000 {"k":"dr')  # a torn record
     os.close(old.file)
     new.look()
     (other,) = new.others.values()
@@ -208,8 +208,14 @@
         new.tried(mine, 1500.0, "s-1", 0)
     os.close(new.file)
     back = list[Entry]()
-    follower = Replacement(old, Relay(make_settings(), 1), Directory((), ()), lambda events: None,
-                           back.append, lambda ident: None)
+    follower = Replacement(
+        old,
+        Relay(make_settings(), 1),
+        Directory((), ()),
+        lambda events: None,
+        back.append,
+        lambda ident: None,
+    )
     while len(back) < len(idents):
         before = len(back)
         follower.follow()
@@ -348,8 +354,11 @@
 
     async def second(self) -> Host:
         new = await self.begin(self.old.ingress.port)
-        await until(lambda: self.old.journal.role == "yield" and new.journal.role == "serve"
-                    and new.replacement.mode is api.Mode.CALLS)
+        await until(
+            lambda: self.old.journal.role == "yield"
+            and new.journal.role == "serve"
+            and new.replacement.mode is api.Mode.CALLS
+        )
         return new
 
     async def __aexit__(self, *_: object) -> None:
@@ -382,11 +391,15 @@
             await until(lambda: not pair.old.held and not new.held and new.relay.elsewhere == {})
             assert pair.old.journal.entries["out"].end == "delivered"
             assert {ident: each.end for ident, each in new.journal.entries.items()} == {
-                "given": "delivered", "own": "delivered"}
+                "given": "delivered",
+                "own": "delivered",
+            }
             assert set(traces(pair.server).values()) == {1} and pair.agent.notices.empty()
-            figures = [host.figures.counts["ok.safe"] + host.figures.counts["ok.unsafe"]
-                       for host in (pair.old, new)]
+            figures = [
+                host.figures.counts["ok.safe"] + host.figures.counts["ok.unsafe"] for host in (pair.old, new)
+            ]
             assert figures == [1, 2]
+
     run(work())
 
 
@@ -403,6 +416,7 @@
             pair.server.hold.set()
             await until(lambda: not new.held and not pair.old.held)
             assert traces(pair.server) == {"m": 1, "n": 1}
+
     run(work())
 
 
@@ -421,6 +435,7 @@
             pair.server.usual = answer(200)
             await pair.hand_in(new, message("n"))
             await until(lambda: new.journal.entries["n"].end == "delivered")
+
     run(work())
 
 
@@ -435,6 +450,7 @@
             await until(lambda: pair.old.journal.entries["m"].end == "delivered")
             await stop
             await until(lambda: not pair.old.journal.others and pair.old.journal.role == "serve")
+
     run(work())
 
 
@@ -448,21 +464,30 @@
             pair.old.withdraw("m")
             await until(lambda: not new.held)
             assert len(pair.server.seen) == 1 and "m" not in new.journal.entries  # and not: delivered since
+
     run(work())
 
 
 def test_two_processes_share_the_descriptors(tmp_path: Path) -> None:
     async def work() -> None:
         async with Pair(tmp_path) as pair:
+
             def total(*hosts: Host) -> int:
-                return sum(host.ingress.most + ACCEPTS + host.egress.most_idle + host.egress.most_ending + 38
-                           for host in hosts) + pair.old.settings.slots
+                return (
+                    sum(
+                        host.ingress.most + ACCEPTS + host.egress.most_idle + host.egress.most_ending + 38
+                        for host in hosts
+                    )
+                    + pair.old.settings.slots
+                )
+
             alone = pair.old.ingress.most
             assert total(pair.old) <= pair.old.config.sockets
             new = await pair.second()
             assert pair.old.ingress.most < alone and total(pair.old, new) <= pair.old.config.sockets
             await new.close()
             await until(lambda: pair.old.ingress.most == alone)
+
     run(work())
 
 
@@ -477,6 +502,7 @@
                 reader, writer = await asyncio.open_connection(sock=sock)
                 assert b"HTTP/1.1 " in await reader.readuntil(b"\r\n\r\n")
                 writer.close()
+
     run(work())
 
 
@@ -535,6 +561,7 @@
         book = Journal(process.state, DISK)
         assert set(traces(server).values()) == {1}
         assert all(each.end for each in book.entries.values())
+
     run(work())
 
 
@@ -561,6 +588,7 @@
         await until(lambda: traces(server)["after"] == 1)
         lives.send_signal(signal.SIGTERM)
         assert await lives.wait() == 0
+
     run(work())
 
 
@@ -571,10 +599,11 @@
             taken.bind(("127.0.0.1", process.port))
             taken.listen()
             child = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "linnetstile",
-                env={**os.environ, "RELAY_CONFIG": str(process.config)})
+                sys.executable, "-m", "linnetstile", env={**os.environ, "RELAY_CONFIG": str(process.config)}
+            )
             assert await child.wait() == 1
         assert not list(process.state.iterdir())
+
     run(work())
 
 
@@ -628,4 +657,5 @@
             (held,) = host.relay.board.held.values()
             assert held.due - host.last_turn == pytest.approx(6100.0)
             assert host.last_turn - held.since == pytest.approx(1900.0)
+
     run(work())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -51,8 +51,12 @@
     ident = d.message(KEYED)
     start = d.now
     for _ in range(4):
-        while ident not in d.ended and d.tries[ident] == len([e for e in d.sent if e[1].id == ident]) \
-                and d.now < start + 9000 and ident not in d.out:
+        while (
+            ident not in d.ended
+            and d.tries[ident] == len([e for e in d.sent if e[1].id == ident])
+            and d.now < start + 9000
+            and ident not in d.out
+        ):
             d.pass_time(20)
         if ident in d.ended:
             break
@@ -66,8 +70,14 @@
 def test_key_window_of_one_zone_binds_the_repeat_to_it(scope: api.Scope) -> None:
     keyed = api.MessageClass("k", api.Effect.KEYED, 1000.0, 10000.0, 1.0, 0.5, 6000.0, scope)
     d = Driver(make_settings(classes=(keyed,)))
-    d.feed(api.EndpointList(api.ListKind.CACHED, tuple(
-        api.Endpoint(ident, 1, api.Listing.READY, 0, zone, 20.0) for ident, zone in ((11, 0), (12, 1)))))
+    d.feed(
+        api.EndpointList(
+            api.ListKind.CACHED,
+            tuple(
+                api.Endpoint(ident, 1, api.Listing.READY, 0, zone, 20.0) for ident, zone in ((11, 0), (12, 1))
+            ),
+        )
+    )
     ident = d.message(0)
     first = d.last(ident)[1].endpoint
     d.pass_time(100)
@@ -212,8 +222,10 @@
     assert set(order[:2]) == set(found)
 
 
-@pytest.mark.parametrize(("outcome", "first"), [
-    (api.Outcome.CONNECT_FAILED, True), (api.Outcome.NOT_SENT, True), (api.Outcome.FULL, False)])
+@pytest.mark.parametrize(
+    ("outcome", "first"),
+    [(api.Outcome.CONNECT_FAILED, True), (api.Outcome.NOT_SENT, True), (api.Outcome.FULL, False)],
+)
 def test_it_has_had_its_try_once_an_endpoint_had_it(outcome: api.Outcome, first: bool) -> None:
     d = Driver()
     d.listed((11, 1))
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -58,8 +58,13 @@
 
     def __post_init__(self) -> None:
         case, self.rng = self.case, random.Random(self.case.seed)
-        settings = make_settings(relays=case.relays, rates=case.rates, slots=8, hold=200,
-                                 kinds=(api.DestinationKind("k", case.batch),))
+        settings = make_settings(
+            relays=case.relays,
+            rates=case.rates,
+            slots=8,
+            hold=200,
+            kinds=(api.DestinationKind("k", case.batch),),
+        )
         self.safety = settings.safety
         self.relays = [Relay(settings, self.rng.randrange(2**32)) for _ in range(case.relays)]
         self.tries: list[dict[int, int]] = [{} for _ in self.relays]
@@ -67,8 +72,10 @@
         self.back_at = self.out_at + case.outage_ms
         self.until = self.back_at + self.safety.cold_ms
         rough = self.rng.uniform(1 / 1.5, 1.5) if case.rates is api.Rates.ROUGH else 1.0
-        entries = tuple(api.Endpoint(10 + n, DEST, api.Listing.READY, 0, 0, case.rate * rough)
-                        for n in range(case.endpoints))
+        entries = tuple(
+            api.Endpoint(10 + n, DEST, api.Listing.READY, 0, 0, case.rate * rough)
+            for n in range(case.endpoints)
+        )
         for ident in range(case.relays):
             self.at(0.0, ident, api.EndpointList(api.ListKind.WHOLE, entries))
         shares = [self.rng.uniform(0.3, 1.7) for _ in self.relays]
@@ -104,7 +111,7 @@
                     calls.setdefault(act.endpoint, []).append(act)
             for sends in calls.values():
                 for n in range(0, len(sends), self.case.batch):
-                    self.call(ident, sends[n:n + self.case.batch])
+                    self.call(ident, sends[n : n + self.case.batch])
             if news:  # what is sent in reply to the batch that tells it is not yet told
                 self.told.add(ident)
         return self
@@ -122,8 +129,11 @@
         for send in sends:
             number = self.tries[ident].get(send.id, 0)
             self.tries[ident][send.id] = number + 1
-            events.append(api.AttemptEnded(send.id, number, send.endpoint, outcome, took,
-                                           outcome is api.Outcome.OK, wait))
+            events.append(
+                api.AttemptEnded(
+                    send.id, number, send.endpoint, outcome, took, outcome is api.Outcome.OK, wait
+                )
+            )
         self.at(self.now + took, ident, *events)
 
     def fails(self, took: float, sends: list[api.Send]) -> tuple[api.Outcome, float, float]:
@@ -171,8 +181,10 @@
     def excess(self) -> float:
         """The most calls above what is allowed in a window most of which came from told relays; below 0 where
         the rule holds."""
-        return max((calls - most for _, calls, told, most in self.windows() if told * 3 > calls * 2),
-                   default=-self.case.rate)
+        return max(
+            (calls - most for _, calls, told, most in self.windows() if told * 3 > calls * 2),
+            default=-self.case.rate,
+        )
 
     def falls(self) -> bool:
         """Whether the rule is broken: by the first fall, since there is no second."""
@@ -184,8 +196,14 @@
     def used(self) -> float:
         """What it got while cold, of all that it could be sent, which its limit bounds as well."""
         step = 100.0
-        could = sum(min(self.case.rate, self.safety.fall_multiple * self.capacity(self.back_at + n * step))
-                    for n in range(int(self.safety.cold_ms / step))) * step / 1000
+        could = (
+            sum(
+                min(self.case.rate, self.safety.fall_multiple * self.capacity(self.back_at + n * step))
+                for n in range(int(self.safety.cold_ms / step))
+            )
+            * step
+            / 1000
+        )
         return len(self.arrivals) / could
 
     def risen(self) -> float:
@@ -208,10 +226,20 @@
     cases = []
     for n in range(number):
         rng = random.Random(1000 * relays + n)
-        cases.append(Case(
-            relays, rng.choice([2.0, 6.0, 20.0, 60.0][:3 if relays < 20 else 4]), FAULTS[n % 5], n,
-            rng.uniform(5000, 15000), rng.uniform(0.45, 0.9), rng.choice([0.0, 3.0, 10.0]),
-            list(api.Rates)[n % 3], rng.choice([1, 20]), rng.choice([1, 2, 3])))
+        cases.append(
+            Case(
+                relays,
+                rng.choice([2.0, 6.0, 20.0, 60.0][: 3 if relays < 20 else 4]),
+                FAULTS[n % 5],
+                n,
+                rng.uniform(5000, 15000),
+                rng.uniform(0.45, 0.9),
+                rng.choice([0.0, 3.0, 10.0]),
+                list(api.Rates)[n % 3],
+                rng.choice([1, 20]),
+                rng.choice([1, 2, 3]),
+            )
+        )
     return cases
 
 
--- a/tests/test_small_model.py
+++ b/tests/test_small_model.py
@@ -55,8 +55,20 @@
     "not begun": (UNSENT, UNSENT, 0.0),
 }
 NEVER_RAN = ("503", "429", "504", "refused in a batch")
-EVENTS = ["none", "drain", "gone", "list reset", "client gone", "same id again", "record refused", "moved",
-          "moved and killed", "term", "kill", "kill twice"]
+EVENTS = [
+    "none",
+    "drain",
+    "gone",
+    "list reset",
+    "client gone",
+    "same id again",
+    "record refused",
+    "moved",
+    "moved and killed",
+    "term",
+    "kill",
+    "kill twice",
+]
 MOMENTS_S = [0.0, 0.015, 0.06]  # before the first byte, while the call is out, after its outcome
 NOTICES = ["well", "silent once", "reset once", "answered twice"]
 
@@ -81,11 +93,22 @@
         self.news = asyncio.Event()
 
     def raw_list(self, reset: bool) -> dict[str, Any]:
-        item = {"instanceId": "s", "hostPort": "127.0.0.1:9", "zone": "z", "machineType": "k", "cell": 7,
-                "lifecycle": self.listing, "weight": 50.0, "startedAtMs": 0}
+        item = {
+            "instanceId": "s",
+            "hostPort": "127.0.0.1:9",
+            "zone": "z",
+            "machineType": "k",
+            "cell": 7,
+            "lifecycle": self.listing,
+            "weight": 50.0,
+            "startedAtMs": 0,
+        }
         gone = reset and self.listing in ("gone", "left out") or self.listing == "left out"
-        return {"generation": self.version, "reset": reset or self.listing == "left out",
-                "instances": [] if gone else [item]}
+        return {
+            "generation": self.version,
+            "reset": reset or self.listing == "left out",
+            "instances": [] if gone else [item],
+        }
 
     async def ask(self, target: str, body: bytes, seconds: float) -> tuple[int, bytes]:
         await asyncio.sleep(0.001)
@@ -146,9 +169,18 @@
         assert host.ingress.listener is not None
         host.ingress.listener.close()
         stub: Any = SimpleNamespace(
-            port=1, connections=set(), quit=True, listen=lambda: None, unbind=lambda: None, stop=lambda: None,
-            leave=lambda: None, send_away=lambda: None, hang_up=lambda: None, allow=lambda most: None,
-            watch=lambda: asyncio.sleep(0))
+            port=1,
+            connections=set(),
+            quit=True,
+            listen=lambda: None,
+            unbind=lambda: None,
+            stop=lambda: None,
+            leave=lambda: None,
+            send_away=lambda: None,
+            hang_up=lambda: None,
+            allow=lambda most: None,
+            watch=lambda: asyncio.sleep(0),
+        )
         host.ingress = stub
         together: Any = lambda calls: self.peers.together(host, calls)  # noqa: E731
         host.egress.together = together  # type: ignore[method-assign]
@@ -156,8 +188,14 @@
         self.ready_at = asyncio.get_running_loop().time()
 
     def hand_in(self, ident: str, class_: str) -> int:
-        headers = {"x-trace-id": ident, "x-qos": class_, "x-customer": "t", "x-addressing": "dest=7",
-                   "x-expires-in-ms": str(int(LEFT_S * 1000)), "idempotency-key": f"k-{ident}"}
+        headers = {
+            "x-trace-id": ident,
+            "x-qos": class_,
+            "x-customer": "t",
+            "x-addressing": "dest=7",
+            "x-expires-in-ms": str(int(LEFT_S * 1000)),
+            "idempotency-key": f"k-{ident}",
+        }
         return self.host.take(Request("POST", f"/{class_}", headers, bytearray(b"hello"))).status
 
     async def kill(self) -> None:
@@ -262,10 +300,20 @@
         state.mkdir()
         peers = Peers(fate, notice)
         path = tmp_path / "config.json"
-        path.write_text(json.dumps({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1f",
-            "state": str(state), "limits": {"sockets": 256, "disk_mb": 3}, "known": peers.raw_list(True),
-            "settings": settings}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": "127.0.0.1:0",
+                    "discovery": "127.0.0.1:9",
+                    "seed": "1f",
+                    "state": str(state),
+                    "limits": {"sockets": 256, "disk_mb": 3},
+                    "known": peers.raw_list(True),
+                    "settings": settings,
+                }
+            )
+        )
         world = World(load({"RELAY_CONFIG": str(path)}), peers)
         with monkeypatch.context() as patch, asyncio.Runner(loop_factory=VirtualClockLoop) as runner:
             loop = runner.get_loop()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -88,13 +88,23 @@
     made.told["m"] = Told(101.2, "returned")
 
 
-@pytest.mark.parametrize(("rule", "fault"), [
-    ("lost", no_end), ("lost", late_end), ("lost", late_after_a_restart),
-    ("lost", forwarded_after_its_notice), ("lost", told_as_failed),
-    ("duplicate", delivered_and_forwarded), ("duplicate", ran_past_its_window),
-    ("duplicate", ran_twice), ("duplicate", out_twice), ("drain", sent_after_a_drain),
-    ("wait", sent_during_a_wait), ("untried", given_up_by_a_restart),
-])
+@pytest.mark.parametrize(
+    ("rule", "fault"),
+    [
+        ("lost", no_end),
+        ("lost", late_end),
+        ("lost", late_after_a_restart),
+        ("lost", forwarded_after_its_notice),
+        ("lost", told_as_failed),
+        ("duplicate", delivered_and_forwarded),
+        ("duplicate", ran_past_its_window),
+        ("duplicate", ran_twice),
+        ("duplicate", out_twice),
+        ("drain", sent_after_a_drain),
+        ("wait", sent_during_a_wait),
+        ("untried", given_up_by_a_restart),
+    ],
+)
 def test_the_judge_sees_what_breaks_a_rule(rule: str, fault: object) -> None:
     assert callable(fault)
     made = ledger()
@@ -131,9 +141,11 @@
 
 def test_short_soaks_break_no_rule(tmp_path: Path) -> None:
     """Longer ones by hand: `python -m linnetstile.soak run --help`."""
+
     async def work() -> None:
         results = await asyncio.gather(*(play(Plan(seed, 15.0), tmp_path / str(seed)) for seed in (2, 7, 21)))
         for result in results:
             assert len(result.ledger.heard) > 100 and result.ledger.faults.total() > 10
             assert [str(breach) for breach in result.breaches] == []
+
     asyncio.run(work())
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -34,8 +34,7 @@
             made(self, transport)
             sock = transport.get_extra_info("socket")
             name = f"{kind.__name__} at {sock.getpeername()[1]}" if kind is Link else kind.__name__
-            set_.setdefault(name, []).append(
-                bool(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)))
+            set_.setdefault(name, []).append(bool(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)))
 
         monkeypatch.setattr(kind, "connection_made", hook)
 
@@ -91,7 +90,9 @@
             while read.count(b"\r\n\r\n") < 2:
                 read += await loop.sock_recv(sock, 65536)
             assert [line.split()[1] for line in read.split(b"\r\n") if line.startswith(b"HTTP/")] == [
-                b"100", b"202"]
+                b"100",
+                b"202",
+            ]
         assert unsent == [(202, 0)]
         await host.close()
 
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -146,8 +146,9 @@
 
 def batched(**more: Any) -> Driver:
     """A destination that takes several messages in a call, and a plain one."""
-    d = Driver(make_settings(kinds=(api.DestinationKind("bulk", batch=20), api.DestinationKind("plain")),
-                             **more))
+    d = Driver(
+        make_settings(kinds=(api.DestinationKind("bulk", batch=20), api.DestinationKind("plain")), **more)
+    )
     d.listed((11, 1))
     d.feed(api.EndpointList(api.ListKind.CHANGES, (api.Endpoint(12, 2, api.Listing.READY, 1, 0, 20.0),)))
     return d
@@ -352,7 +353,7 @@
             bad = d.last(ident)[1].endpoint == 11
             d.answer(ident, api.Outcome.RESET if bad else api.Outcome.OK)
         d.pass_time(200)
-    later = [send.endpoint for _, send in d.sent[start + 10:]]
+    later = [send.endpoint for _, send in d.sent[start + 10 :]]
     assert later.count(12) > 4 * later.count(11)
 
 
@@ -469,9 +470,15 @@
     first: list[int] = []
     for seed in range(200):
         d = Driver(make_settings(relays=200, kinds=APART), seed=seed)
-        d.feed(api.EndpointList(api.ListKind.CACHED, (
-            api.Endpoint(11, 1, api.Listing.READY, 0, 0, 80.0),
-            api.Endpoint(12, 1, api.Listing.READY, 0, 0, 160.0))))
+        d.feed(
+            api.EndpointList(
+                api.ListKind.CACHED,
+                (
+                    api.Endpoint(11, 1, api.Listing.READY, 0, 0, 80.0),
+                    api.Endpoint(12, 1, api.Listing.READY, 0, 0, 160.0),
+                ),
+            )
+        )
         d.message()
         first.append(d.sent[0][1].endpoint)
     assert 33 < first.count(11) < 100  # a third of what both take
@@ -618,9 +625,15 @@
     d = Driver()
     sizes = []
     for generation in range(60):
-        d.feed(api.EndpointList(api.ListKind.WHOLE, tuple(
-            api.Endpoint(100 * generation + n, 50 * generation + n, api.Listing.READY, 0, 0, 20.0)
-            for n in range(5))))
+        d.feed(
+            api.EndpointList(
+                api.ListKind.WHOLE,
+                tuple(
+                    api.Endpoint(100 * generation + n, 50 * generation + n, api.Listing.READY, 0, 0, 20.0)
+                    for n in range(5)
+                ),
+            )
+        )
         ident = d.message(dest=50 * generation)
         d.pass_time(50)
         d.answer(ident)
@@ -778,10 +791,30 @@
     keyed = api.MessageClass("k", api.Effect.KEYED, 1000.0, 10000.0, 1.0, 0.5, 3000.0, api.Scope.ENDPOINT)
     d = Driver(make_settings(classes=(keyed,)))
     d.listed((11, 1), (12, 1))
-    d.feed(api.Message(1, 1, 0, 8000.0, age_ms=1000.0, tries=1, risk_age_ms=500.0,
-                       risk=api.Endpoint(12, 1, api.Listing.READY)))
-    d.feed(api.Message(2, 1, 0, 8000.0, age_ms=1000.0, tries=1, risk_age_ms=500.0,
-                       risk=api.Endpoint(99, 1, api.Listing.READY)))
+    d.feed(
+        api.Message(
+            1,
+            1,
+            0,
+            8000.0,
+            age_ms=1000.0,
+            tries=1,
+            risk_age_ms=500.0,
+            risk=api.Endpoint(12, 1, api.Listing.READY),
+        )
+    )
+    d.feed(
+        api.Message(
+            2,
+            1,
+            0,
+            8000.0,
+            age_ms=1000.0,
+            tries=1,
+            risk_age_ms=500.0,
+            risk=api.Endpoint(99, 1, api.Listing.READY),
+        )
+    )
     d.pass_time(100)
     assert {ident: send.endpoint for ident, send in d.out.items()} == {1: 12}
 
@@ -809,8 +842,14 @@
         assert all(held.worth == 1.0 for held in d.relay.board.held.values()) == within
 
 
-def turned_away(d: Driver, dest: int, kept: bool, times: int = 4, wait: float = 0.0,
-                outcome: api.Outcome = api.Outcome.FULL) -> None:
+def turned_away(
+    d: Driver,
+    dest: int,
+    kept: bool,
+    times: int = 4,
+    wait: float = 0.0,
+    outcome: api.Outcome = api.Outcome.FULL,
+) -> None:
     for _ in range(times):
         ident = d.message(SAFE, dest)
         while ident not in d.out:
@@ -819,16 +858,23 @@
         d.feed(api.AttemptEnded(ident, number, send.endpoint, outcome, 5.0, True, wait, kept=kept))
 
 
-@pytest.mark.parametrize(("kept", "wait", "keeps"),
-                         [(False, 0.0, False), (True, 0.0, True), (False, 5.0, True)])
+@pytest.mark.parametrize(
+    ("kept", "wait", "keeps"), [(False, 0.0, False), (True, 0.0, True), (False, 5.0, True)]
+)
 def test_no_connection_is_kept_where_new_ones_are_turned_away(kept: bool, wait: float, keeps: bool) -> None:
     """Guards a fleet against the few that got an endpoint's few connections and keep them. They are never
     turned away there, so it is learned at other endpoints of that kind; a limit refuses on kept ones too."""
     d = Driver(make_settings(kinds=(api.DestinationKind("few"), api.DestinationKind("many"))))
     for kind, (ident, dest) in enumerate([(11, 1), (33, 3)]):
-        d.feed(api.EndpointList(api.ListKind.CHANGES, (
-            api.Endpoint(ident, dest, api.Listing.READY, kind, 0, 20.0),
-            api.Endpoint(ident + 11, dest + 1, api.Listing.READY, kind, 0, 20.0))))
+        d.feed(
+            api.EndpointList(
+                api.ListKind.CHANGES,
+                (
+                    api.Endpoint(ident, dest, api.Listing.READY, kind, 0, 20.0),
+                    api.Endpoint(ident + 11, dest + 1, api.Listing.READY, kind, 0, 20.0),
+                ),
+            )
+        )
     turned_away(d, 1, kept, wait=wait)
     d.pass_time(60000)
     lucky, other = d.message(SAFE, 2), d.message(SAFE, 3)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -30,13 +30,30 @@
 ASKED = 60
 
 WHILE_SERVING: list[tuple[str, str]] = [
-    *(("accept", kind) for kind in ("ECONNABORTED", "EPROTO", "ENETDOWN", "ENFILE", "EMFILE", "ENOBUFS",
-                                    "ENOMEM", "EPERM", "EINTR", "EAGAIN")),
+    *(
+        ("accept", kind)
+        for kind in (
+            "ECONNABORTED",
+            "EPROTO",
+            "ENETDOWN",
+            "ENFILE",
+            "EMFILE",
+            "ENOBUFS",
+            "ENOMEM",
+            "EPERM",
+            "EINTR",
+            "EAGAIN",
+        )
+    ),
     *(("socket", kind) for kind in ("EMFILE", "ENFILE", "ENOBUFS", "ENOMEM")),
     *(("connect", kind) for kind in ("EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS")),
     *(("setsockopt", kind) for kind in ("EINVAL", "ENOBUFS", "ENOPROTOOPT")),
-    ("recv", "EINTR"), ("send", "EAGAIN"), ("send", "EINTR"),
-    ("send", "ENOBUFS"), ("send", "ENOMEM"), ("short_send", "EAGAIN"),
+    ("recv", "EINTR"),
+    ("send", "EAGAIN"),
+    ("send", "EINTR"),
+    ("send", "ENOBUFS"),
+    ("send", "ENOMEM"),
+    ("short_send", "EAGAIN"),
 ]
 
 
@@ -81,13 +98,22 @@
             assert set(calls.values()) == {1} and not ends & set(calls)
             process.set()
             assert await process.end(signal.SIGTERM) == 0
+
     run(work())
 
 
 AT_THE_START = [
-    ("socket", "ENFILE"), ("bind", "EADDRNOTAVAIL"), ("listen", "ENOBUFS"), ("setsockopt", "EINVAL"),
-    ("open", "EMFILE"), ("link", "EIO"), ("listdir", "EIO"), ("flock", "ENOLCK"), ("write", "ENOSPC"),
-    ("stat", "EIO"), ("unlink", "EIO"),
+    ("socket", "ENFILE"),
+    ("bind", "EADDRNOTAVAIL"),
+    ("listen", "ENOBUFS"),
+    ("setsockopt", "EINVAL"),
+    ("open", "EMFILE"),
+    ("link", "EIO"),
+    ("listdir", "EIO"),
+    ("flock", "ENOLCK"),
+    ("write", "ENOSPC"),
+    ("stat", "EIO"),
+    ("unlink", "EIO"),
 ]
 
 
@@ -114,11 +140,12 @@
             await process.hand_in(message("m", "keyed"))
             assert await soon(lambda: len(server.seen) == 1)
             assert await process.end(signal.SIGTERM) == 0
+
     run(work())
 
 
 def test_a_connection_that_this_machine_cannot_begin_speaks_against_nobody(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def work() -> None:
         server, fails = await Server().start(), 3
@@ -135,6 +162,7 @@
         assert (await egress().call(call(server.address))).outcome is api.Outcome.OK and fails == -1
         fails = 10**6
         assert await egress().call(call(server.address, 0.2)) == UNSENT
+
     run(work())
 
 
@@ -162,6 +190,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The system resets what is queued as a listener closes: a client tries just before it does."""
+
     async def work() -> None:
         async with World(tmp_path) as host:
             port, outcomes = host.ingress.port, list[str]()
@@ -176,6 +205,7 @@
             host.ingress.stop()
             await until(lambda: host.ingress.listener is None)
             assert outcomes == ["never connected"]
+
     run(work())
 
 
@@ -215,11 +245,13 @@
                 assert b"HTTP/1.1 " in await reader.readuntil(b"\r\n\r\n")
                 writer.close()
             await until(lambda: host.ingress.listener is None)
+
     run(work())
 
 
 def test_who_has_just_had_its_last_answer_makes_no_room(tmp_path: Path) -> None:
     """A close over its unread bytes would reset that answer away."""
+
     async def work() -> None:
         async with World(tmp_path) as host, Client(host.ingress.port) as bad:
             hold_to(host, 1)
@@ -228,6 +260,7 @@
             assert not host.ingress._make_room()
             connection.answered_at -= 1.0
             assert host.ingress._make_room()
+
     run(work())
 
 
@@ -245,4 +278,5 @@
             assert head.startswith(b"HTTP/1.1 503") and b"Retry-After" in head
             assert await reader.read(65536) is not None and "m" not in host.journal.entries
             writer.close()
+
     run(work())
--- a/tests/test_told_wait.py
+++ b/tests/test_told_wait.py
@@ -44,17 +44,21 @@
         monkeypatch.setattr(Link, "data_received", came)
 
 
-@pytest.mark.parametrize("told", [
-    b"HTTP/1.1 429 X\r\n" + WAIT + b"Content-Length: 9\r\n\r\n",  # and then nothing
-    b"HTTP/1.1 429 X\r\n" + WAIT + b"Content-Length: 9\r\n\r\nx",  # a byte at a time
-    b"HTTP/1.1 503 X\r\n" + WAIT + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
-    b"HTTP/1.1 429 X\r\n" + WAIT,  # a head that is still coming
-    b"HTTP/1.1 429 X\r\n",  # a first line: what follows may tell a wait
-])
+@pytest.mark.parametrize(
+    "told",
+    [
+        b"HTTP/1.1 429 X\r\n" + WAIT + b"Content-Length: 9\r\n\r\n",  # and then nothing
+        b"HTTP/1.1 429 X\r\n" + WAIT + b"Content-Length: 9\r\n\r\nx",  # a byte at a time
+        b"HTTP/1.1 503 X\r\n" + WAIT + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        b"HTTP/1.1 429 X\r\n" + WAIT,  # a head that is still coming
+        b"HTTP/1.1 429 X\r\n",  # a first line: what follows may tell a wait
+    ],
+)
 def test_no_call_begins_once_the_head_that_tells_a_wait_has_come(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, told: bytes
 ) -> None:
     """The other message's connection comes up in the very turn; the answer's rest never comes."""
+
     async def work() -> None:
         async with World(tmp_path) as world:
             held = Held(monkeypatch)
@@ -71,6 +75,7 @@
             assert [seen.headers["x-trace-id"] for seen in world.server.seen] == ["refused"]
             await until(lambda: host.relay.board.held[number].out is None)  # the module has heard of it
             assert host.relay.board.held[number].tries == 0  # nothing of it has left
+
     run(work())
 
 
@@ -95,6 +100,7 @@
                 assert await client.ask(message("ready")) == 202
                 host._step()
                 assert host.held[host.numbers["ready"]].call is None
+
     run(work())
 
 
@@ -120,11 +126,13 @@
                 assert await one.ask(message("c")) == 202
                 host._step()
             assert host.held[host.numbers["c"]].call is None and len(world.server.seen) == 1
+
     run(work())
 
 
 def test_a_call_that_is_not_whole_in_the_socket_asks_again_before_its_last_byte() -> None:
     """What the socket can't take at once leaves later: a wait that is told in between still holds it."""
+
     async def work() -> None:
         got = bytearray()
 
@@ -147,6 +155,7 @@
         await ended.wait()
         assert answer.outcome is api.Outcome.NOT_SENT and len(asked) == 2
         assert got.endswith(body[:-1]) and not got.endswith(body)
+
     run(work())
 
 
--- a/tests/test_unsolicited_bytes.py
+++ b/tests/test_unsolicited_bytes.py
@@ -114,8 +114,11 @@
 
 async def relay(tmp_path: Path, agent: Any, server: Any, **extra: Any) -> FaultProcess:
     process = FaultProcess(tmp_path, agent, server)
-    process.raw["settings"] = {**SETTINGS, "extra": {**SETTINGS["extra"], **extra},
-                               "limits": {**SETTINGS["limits"], "open-cap": 2 * MESSAGES}}
+    process.raw["settings"] = {
+        **SETTINGS,
+        "extra": {**SETTINGS["extra"], **extra},
+        "limits": {**SETTINGS["limits"], "open-cap": 2 * MESSAGES},
+    }
     if isinstance(agent, SurplusPlatform):
         process.raw["known"] = agent.servers
     process.configure()
@@ -125,16 +128,22 @@
 
 async def handed_in(process: FaultProcess, class_: str, destinations: int = 1) -> list[str]:
     idents = [f"m{number}" for number in range(MESSAGES)]
-    await process.hand_in(*(message(ident, class_, left=LEFT_MS, X_Addressing=f"dest={7 + n % destinations}")
-                            for n, ident in enumerate(idents)))
+    await process.hand_in(
+        *(
+            message(ident, class_, left=LEFT_MS, X_Addressing=f"dest={7 + n % destinations}")
+            for n, ident in enumerate(idents)
+        )
+    )
     return idents
 
 
 def listed_often(server: Server, destinations: int) -> dict[str, Any]:
     """One server as the endpoint of several destinations."""
     (item,) = listing(server)["instances"]
-    return {**listing(), "instances": [{**item, "instanceId": f"s-{n}", "cell": 7 + n}
-                                       for n in range(destinations)]}
+    return {
+        **listing(),
+        "instances": [{**item, "instanceId": f"s-{n}", "cell": 7 + n} for n in range(destinations)],
+    }
 
 
 async def play(tmp_path: Path, server: Surplus, class_: str, **extra: Any) -> None:
@@ -173,8 +182,13 @@
 ) -> None:
     async def work() -> None:
         server = await FailsOnCue().start()
-        platform = SurplusPlatform(("127.0.0.1", free_port()), path_s=NOTICES_PATH_S, gap_s=gap_s,
-                                   servers=listed_often(server, MESSAGES), cue=server.cue)
+        platform = SurplusPlatform(
+            ("127.0.0.1", free_port()),
+            path_s=NOTICES_PATH_S,
+            gap_s=gap_s,
+            servers=listed_often(server, MESSAGES),
+            cue=server.cue,
+        )
         await platform.listen()
         process = await relay(tmp_path, platform, server, **{"call-slots": 1})
         try:
@@ -184,12 +198,18 @@
             assert sorted(set(idents) - set(platform.told)) == []
         finally:
             process.kill()
+
     run(work())
 
 
-@pytest.mark.parametrize(("kind", "between"), [
-    (Kind.OTHER_STATUS, 200), (Kind.NOISE, 200), (Kind.HALF_HEAD, 500),
-])
+@pytest.mark.parametrize(
+    ("kind", "between"),
+    [
+        (Kind.OTHER_STATUS, 200),
+        (Kind.NOISE, 200),
+        (Kind.HALF_HEAD, 500),
+    ],
+)
 def test_bytes_behind_an_answer_never_spoil_the_answer_to_the_next_call(
     tmp_path: Path, kind: Kind, between: int
 ) -> None:
@@ -219,4 +239,5 @@
             assert not any(link.usable for links in host.egress.idle.values() for link in links)
         finally:
             await host.close()
+
     run(work())
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -16,15 +16,29 @@
     "az": 0,
     "balancers": 2,
     "classes": [
-        {"aim-ms": 400.0, "deadline-ms": 4000.0, "dedup-scope": "all", "effect": "by_key", "late-share": 0.5,
-         "name": "a", "window-ms": 2000.0, "worth": 2.0},
+        {
+            "aim-ms": 400.0,
+            "deadline-ms": 4000.0,
+            "dedup-scope": "all",
+            "effect": "by_key",
+            "late-share": 0.5,
+            "name": "a",
+            "window-ms": 2000.0,
+            "worth": 2.0,
+        },
     ],
     "extra": {"call-slots": 4, "loses-worth": "halves", "per-call": [1], "separate-routes": [False]},
     "kinds": ["k"],
     "limits": {"open-cap": 20, "try-limit": 5, "probing": False, "streams-per-conn": 1, "conn-idle-ms": 1e4},
     "registry-mode": "push",
-    "safety": {"answer-slack-ms": 20.0, "cold-from": 0.2, "cold-ms": 9000.0, "drain-grace-ms": 250.0,
-               "fall-ms": 1500.0, "fall-multiple": 2.0},
+    "safety": {
+        "answer-slack-ms": 20.0,
+        "cold-from": 0.2,
+        "cold-ms": 9000.0,
+        "drain-grace-ms": 250.0,
+        "fall-ms": 1500.0,
+        "fall-multiple": 2.0,
+    },
     "tick-ms": 5.0,
     "weight-kind": "nominal",
     "a-key-nobody-knows": {"x": 1},
@@ -59,29 +73,43 @@
 
 
 def run(data: bytes, **env: str) -> subprocess.CompletedProcess[bytes]:
-    return subprocess.run([sys.executable, "-m", "linnetstile.wirehost"], input=data, capture_output=True,
-                          timeout=60, env={**os.environ, **env})
+    return subprocess.run(
+        [sys.executable, "-m", "linnetstile.wirehost"],
+        input=data,
+        capture_output=True,
+        timeout=60,
+        env={**os.environ, **env},
+    )
 
 
 def test_documented_events_are_decoded() -> None:
     host = wirehost.Host()
-    data = bytes.fromhex("03000000c4913a5d0000000000640ad2557c3bf091"
-                         "0000000000006e4000000000000028400000644201")
+    data = bytes.fromhex(
+        "03000000c4913a5d0000000000640ad2557c3bf091" "0000000000006e4000000000000028400000644201"
+    )
     assert host._event(110, data) == api.Message(
-        0x5D3A91C4, 57, 0, 240.0, 0, 0x91F03B7C55D20A64, 12.0, False, False)
+        0x5D3A91C4, 57, 0, 240.0, 0, 0x91F03B7C55D20A64, 12.0, False, False
+    )
     assert host._event(40, bytes.fromhex("030000004d00000000000000")) == api.TimerFired(77)
     assert host._event(70, bytes.fromhex("05000000192b6f0e")) == api.Withdrawn(0x0E6F2B19)
     done = bytes.fromhex("03000000c4913a5d0000074a12030100000000008032400100000000" + "00")
     assert host._event(100, done) == api.AttemptEnded(
-        0x5D3A91C4, 0, 0x03124A07, api.Outcome.OK, 18.5, True, 0.0, False, ())
+        0x5D3A91C4, 0, 0x03124A07, api.Outcome.OK, 18.5, True, 0.0, False, ()
+    )
     events: dict[int, list[api.Event]] = {}
     rows = "020000000" + "1" + "0000803f00000000000000000000003900074a1203"
     rows += "01" + "0000c03f0000000000d4b740000000" + "3900f211902c"
     host._take(20, b"\0" + bytes.fromhex(rows), events)
     host._take(30, bytes.fromhex("0300000002290000000000000000"), events)
-    assert events[3] == [api.EndpointList(api.ListKind.CACHED, (
-        api.Endpoint(0x03124A07, 57, api.Listing.READY, 0, 0, 1.0),
-        api.Endpoint(0x2C9011F2, 57, api.Listing.READY, 0, 0, 1.5)))]
+    assert events[3] == [
+        api.EndpointList(
+            api.ListKind.CACHED,
+            (
+                api.Endpoint(0x03124A07, 57, api.Listing.READY, 0, 0, 1.0),
+                api.Endpoint(0x2C9011F2, 57, api.Listing.READY, 0, 0, 1.5),
+            ),
+        )
+    ]
 
 
 @pytest.mark.parametrize(
@@ -111,13 +139,15 @@
 
 def conversation() -> bytes:
     done = struct.pack("<IIHIBdBIB", 3, 1, 0, 11, 1, 120.0, 1, 0, 0)
-    return b"".join([
-        frame(0.0),
-        frame(100.0, enlist(), listing(), announce()),
-        frame(110.0, request(1)),
-        frame(1240.0, record(100, done), *(request(n) for n in range(2, 9))),
-        frame(1260.0, record(40, struct.pack("<IQ", 3, 0))),
-    ])
+    return b"".join(
+        [
+            frame(0.0),
+            frame(100.0, enlist(), listing(), announce()),
+            frame(110.0, request(1)),
+            frame(1240.0, record(100, done), *(request(n) for n in range(2, 9))),
+            frame(1260.0, record(40, struct.pack("<IQ", 3, 0))),
+        ]
+    )
 
 
 def replies(data: bytes) -> list[list[tuple[int, bytes]]]:
