--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -56,6 +56,7 @@
         self.by_name: dict[str, Known] = {}
         self.by_number: dict[int, Known] = {}
         self.dests: dict[int, int] = {}  # destination -> how many endpoints of it are listed
+        self.touched: set[str] | None = None  # names in the last answer; None: it was the whole list
         self.left: set[int] = set()  # those that lost their last one, until somebody asks
         self.version = -1
         self.numbers = 0
@@ -95,9 +96,15 @@
                 self.by_name[known.name] = self.by_number[known.entry.id] = known
                 self.dests[known.entry.destination] = self.dests.get(known.entry.destination, 0) + 1
         self.version = version
+        self.touched = None if whole else {known.name for known in found}
         kind = ListKind.WHOLE if whole else ListKind.CHANGES
         return EndpointList(kind, tuple(known.entry for known in found))
 
+    def is_ready(self, name: str) -> bool:
+        """Whether it is listed, and takes something new."""
+        known = self.by_name.get(name)
+        return known is not None and known.entry.listing is Listing.READY
+
     def _lose(self, name: str) -> None:
         known = self.by_name.pop(name, None)
         if known is not None:
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -89,6 +89,7 @@
             raise
         self.directory = Directory.of(config.settings, config.zones)
         self.configured = names_of(config.known)  # what the next process begins with, as far as is known
+        self.unlisted_noted = False  # the journal has all that is known of them
         self.intake = Intake(config.settings, self.classes, self.tenants, self._knows_destination)
         self.dests: dict[int, float] = {}  # destinations that are known though none is listed: until when
         self.figures = Figures(self.classes, self.invariants)
@@ -533,14 +534,17 @@
     def told_by_discovery(self, event: api.EndpointList) -> None:
         self.news.set()
         if event.entries or event.kind is api.ListKind.WHOLE:
-            ready = {
-                name
-                for name, known in self.directory.by_name.items()
-                if known.entry.listing is api.Listing.READY
-            }
-            self._journal(lambda: self.journal.says_unlisted(self.configured - ready))
+            self._note_unlisted()
         self.listed(event)
 
+    def _note_unlisted(self) -> None:
+        """Follows the change, not the list; all is compared after a whole list, or where a record failed."""
+        touched = self.directory.touched
+        if touched is None or not self.unlisted_noted:
+            touched = self.configured | self.journal.unlisted
+        unlisted = {name for name in touched & self.configured if not self.directory.is_ready(name)}
+        self.unlisted_noted = self._journal(lambda: self.journal.says_unlisted(unlisted, touched))
+
     def listed(self, event: api.EndpointList) -> None:
         self._know_dests()
         self._keep_links()
--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -272,9 +272,10 @@
     def give(self, entries: list[Entry]) -> None:
         self._record(*({"k": "give", "ids": [entry.id for entry in some]} for some in in_parts(entries)))
 
-    def says_unlisted(self, names: set[str]) -> None:
-        """Which endpoints of the configuration's list are not ready any more, as discovery has told."""
-        changes = [("unlisted", sorted(names - self.unlisted)), ("listed", sorted(self.unlisted - names))]
+    def says_unlisted(self, names: set[str], among: set[str]) -> None:
+        """Which of these endpoints are not ready any more, as discovery has told; the others of them are."""
+        listed = (self.unlisted & among) - names
+        changes = [("unlisted", sorted(names - self.unlisted)), ("listed", sorted(listed))]
         self._record(
             *({"k": kind, "names": list(some)} for kind, changed in changes for some in in_parts(changed))
         )
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -8,6 +8,7 @@
 
 import random
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -18,9 +19,11 @@
 from linnetstile.emulator.module_measures import opcodes
 from linnetstile.health import FADE_MS, suspect
 from linnetstile.net.discovery import Directory
+from linnetstile.net.journal import JournalError
 from linnetstile.state import Agenda
 
 from .conftest import KEYED, SAFE, UNSAFE, Driver, make_settings
+from .loopback import Agent, Server, host_of, listing, run
 
 FEW, MANY = 100, 3000
 SLACK = 1.5  # a heap is deeper by some steps, a dictionary's walk is not
@@ -115,6 +118,66 @@
     assert costs[1] < SLACK * costs[0]
 
 
+def test_a_change_of_the_list_costs_the_journal_what_changes(tmp_path: Path) -> None:
+    def listed(n: int, life: str) -> dict[str, Any]:
+        return {**listing(Server(address=("127.0.0.1", n + 1)), state=life)["instances"][0], "cell": n // 3}
+
+    async def work() -> None:
+        agent = await Agent().start()
+        costs = []
+        for size in (FEW, MANY):
+            state = tmp_path / str(size) / "state"
+            state.mkdir(parents=True)
+            whole = {"generation": 1, "reset": True, "instances": [listed(n, "ready") for n in range(size)]}
+            host = host_of(state, agent, known=whole)
+            host.directory.apply(whole)
+            host._note_unlisted()
+            gone = [listed(n, "gone") for n in range(30, 40)]
+            host.directory.apply({"generation": 2, "reset": False, "instances": gone})
+            costs.append(opcodes(host._note_unlisted))
+            assert host.journal.unlisted == {item["instanceId"] for item in gone}
+            host.ingress.unbind()
+            host.journal.close()
+        assert costs[1] < SLACK * costs[0]
+
+    run(work())
+
+
+def test_what_the_journal_could_not_take_of_the_list_is_compared_anew(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def work() -> None:
+        state = tmp_path / "state"
+        state.mkdir()
+        agent, one, other = (
+            await Agent().start(),
+            Server(address=("127.0.0.1", 1)),
+            Server(address=("127.0.0.1", 2)),
+        )
+        host = host_of(state, agent, one, other)
+        host.directory.apply(listing(one, other))
+        host._note_unlisted()
+        with monkeypatch.context() as patch:
+            patch.setattr(host.journal, "_make_room", refuse)
+            host.directory.apply(listing(one, generation=2, reset=False, state="draining"))
+            host._note_unlisted()
+        assert not host.journal.unlisted
+        host.directory.apply(listing(other, generation=3, reset=False))
+        host._note_unlisted()
+        assert host.journal.unlisted == {"s-1"}
+        host.directory.apply(listing(one, generation=4, reset=False))
+        host._note_unlisted()
+        assert not host.journal.unlisted
+        host.ingress.unbind()
+        host.journal.close()
+
+    run(work())
+
+
+def refuse(size: int) -> None:
+    raise JournalError("the folder is full")
+
+
 # -- the indexes, against a walk over everything -----------------------------------------------------------
 
 
