Forget what is ready again when another process's file is read anew

What callers could see: calls to an endpoint that is ready again begin only with the second process's first list. Cause: where the record that an endpoint is ready again never reached the file before it was compacted (the folder refused it), the reader kept the endpoint as not ready. Change: the reader forgets these before it reads the new file, which says all that counts. Measured: the test refuses the record and compacts; it failed before, passes now.

--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -92,7 +92,7 @@
         """Compacted: the new file says all that still counts."""
         old, self.file, self.at = self.file, os.open(self.path, os.O_RDWR), 0
         os.close(old)
-        for kept in (self.entries, self.sizes):
+        for kept in (self.entries, self.sizes, self.unlisted):
             kept.clear()
         self.live = self.sequence = 0
         self._read()
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import signal
 import socket
@@ -21,7 +22,7 @@
 from linnetstile.net.host import Host
 from linnetstile.net.client_connection import ClientConnection
 from linnetstile.net.ingress import ACCEPTS
-from linnetstile.net.journal import BLOCK, SLACK, Attempt, Entry, Journal
+from linnetstile.net.journal import BLOCK, SLACK, Attempt, Entry, Journal, JournalError
 from linnetstile.net.replacement import TAKES, Replacement
 
 from .conftest import SAFE, Driver, make_settings
@@ -298,6 +299,27 @@
     assert new.knows("late")
 
 
+def refuse(file: int, data: bytes) -> int:
+    raise OSError(errno.ENOSPC, "no space")
+
+
+def test_what_is_ready_again_when_the_others_file_is_compacted_is_not_kept_as_unlisted(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    writer, reader = Journal(tmp_path, 300_000), Journal(tmp_path, 300_000)
+    writer.says_unlisted({"s", "t"}, {"s", "t"})
+    reader.look()
+    assert reader.known_unlisted() == {"s", "t"}
+    with monkeypatch.context() as patch, pytest.raises(JournalError):
+        patch.setattr(os, "write", refuse)
+        writer.says_unlisted({"t"}, {"s", "t"})
+    writer._compact()  # the record itself was never in the old file
+    reader.look()
+    assert reader.known_unlisted() == {"t"}
+    for each in (reader, writer):
+        each.close()
+
+
 def test_the_files_of_both_stay_within_the_folders_limit(tmp_path: Path) -> None:
     disk = 32 * SLACK
     old = Journal(tmp_path, disk)
