Name the module's endpoints and the management server by the field's names

Clean-up, behaviour as before: the decision modules' Door is EndpointState, doors and door are endpoints and endpoint; the operators' Door is ManagementServer, host.door is host.management.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -44,7 +44,7 @@
 from .list_confirmation import ListConfirmation
 from .quotas import Quotas
 from .slow_start import heaviest_call, knowing, mean_calls
-from .state import FURTHER, NEVER, Board, Call, Door, Held, Lane
+from .state import FURTHER, NEVER, Board, Call, EndpointState, Held, Lane
 
 MARGIN_MS = 20.0  # messages are closed so long before their time is up
 LOOK_MS = 500.0  # a queue that waits for something is looked at again at least so often
@@ -71,7 +71,7 @@
 FIRST = 1e9  # above any worth: what a restart found untried goes before all that came since
 
 
-Choice = tuple[float, list[Held], Door]  # worth per slot time, the messages of one call, endpoint
+Choice = tuple[float, list[Held], EndpointState]  # worth per slot time, the messages of one call, endpoint
 
 
 class Relay:
@@ -83,7 +83,7 @@
         self.board = Board()
         self.ends: list[tuple[float, int]] = []  # heap: when a message can no longer be delivered
         self.lanes: dict[int, dict[int, Lane]] = {}  # destination -> its lanes
-        self.doors: dict[int, Door] = {}
+        self.endpoints: dict[int, EndpointState] = {}
         self.bare: set[int] = set()  # destinations of which a lane lost its last endpoint
         self.ejections = Ejections()
         self.key_rest: dict[int, float] = {}  # in-order key -> end of its rest
@@ -160,23 +160,27 @@
             self.ask_fails, self.ask_at = 0, None
             self.confirmation.confirm()
         ready = {entry.id: entry for entry in event.entries if entry.listing is Listing.READY}
-        named = [entry.id for entry in event.entries] if event.kind is ListKind.CHANGES else list(self.doors)
-        for ident in sorted({ident for ident in named if ident in self.doors}):
-            if ident not in ready or self._lane_key(ready[ident]) != self._lane_key(self.doors[ident].entry):
-                self._drop(now, self.doors.pop(ident))
+        named = (
+            [entry.id for entry in event.entries] if event.kind is ListKind.CHANGES else list(self.endpoints)
+        )
+        for ident in sorted({ident for ident in named if ident in self.endpoints}):
+            if ident not in ready or self._lane_key(ready[ident]) != self._lane_key(
+                self.endpoints[ident].entry
+            ):
+                self._drop(now, self.endpoints.pop(ident))
         for entry in ready.values():
             self._add(now, entry)
 
-    def _drop(self, now: float, door: Door) -> None:
+    def _drop(self, now: float, endpoint: EndpointState) -> None:
         """Nothing new goes to an endpoint that drains or is gone; a lane goes with its last trace."""
-        del door.lane.doors[door.entry.id]
-        self.ejections.drop(door)
-        if not door.lane.doors:
-            door.lane.bad_since = now if door.lane.bad_since is None else door.lane.bad_since
-            self.bare.add(door.entry.destination)
-        for dest in [d for d in self.bare if d not in self.board.queues and d != door.entry.destination]:
+        del endpoint.lane.endpoints[endpoint.entry.id]
+        self.ejections.drop(endpoint)
+        if not endpoint.lane.endpoints:
+            endpoint.lane.bad_since = now if endpoint.lane.bad_since is None else endpoint.lane.bad_since
+            self.bare.add(endpoint.entry.destination)
+        for dest in [d for d in self.bare if d not in self.board.queues and d != endpoint.entry.destination]:
             kept = self.lanes[dest] = {k: v for k, v in self.lanes[dest].items() if not forgotten(v, now)}
-            if all(lane.doors for lane in kept.values()):
+            if all(lane.endpoints for lane in kept.values()):
                 self.bare.discard(dest)
             if not kept:
                 del self.lanes[dest]
@@ -191,17 +195,17 @@
             lanes[key] = Lane(*self.usual, total, pace, BURST, now, batch, listed > 0, answered_at=now)
             if (learned := self.learned.pop((dest, key), None)) is not None:
                 lanes[key].take(learned.figures, True)
-        lane, door = lanes[key], self.doors.get(entry.id)
+        lane, endpoint = lanes[key], self.endpoints.get(entry.id)
         if listed and listed != lane.total and not lane.reported:
             lane.pace, lane.total = lane.pace * listed / lane.total, listed  # keeps what was learned
-        if door is None:
-            if not lane.doors and lane.bad_since is not None:  # replaced late: the new endpoint is cold
+        if endpoint is None:
+            if not lane.endpoints and lane.bad_since is not None:  # replaced late: the new endpoint is cold
                 self._cold(now, lane)
-            self.doors[entry.id] = lane.doors[entry.id] = Door(entry, lane)
+            self.endpoints[entry.id] = lane.endpoints[entry.id] = EndpointState(entry, lane)
             self.ejections.see(now, lane)
             self.board.look(dest)
         else:
-            door.entry = entry
+            endpoint.entry = entry
 
     def _lane_key(self, entry: Endpoint) -> tuple[int, int]:
         apart = entry.kind < len(self.s.kinds) and self.s.kinds[entry.kind].routes_apart
@@ -239,10 +243,10 @@
             return float("inf")
         return self.key_rest.get(held.key, 0.0)
 
-    def _may_send(self, now: float, held: Held, door: Door) -> bool:
+    def _may_send(self, now: float, held: Held, endpoint: EndpointState) -> bool:
         """The one gate of every send: attempts, drain, told wait, time, order, effect and key window."""
-        lane, entry = door.lane, door.entry
-        if held.out is not None or entry.id not in self.doors or now >= self._until(held):
+        lane, entry = endpoint.lane, endpoint.entry
+        if held.out is not None or entry.id not in self.endpoints or now >= self._until(held):
             return False
         late = now + lane.mean / 4 >= held.due or now + lane.takes(OVERDUE) > self.closing_at
         if late or lane.telling or now < max(lane.wait_until, held.ready, self._turn(held)):
@@ -259,9 +263,9 @@
             return False
         keyed = held.cls.effect is Effect.KEYED and held.first_risk is not None
         window = (held.first_risk or 0.0) + held.cls.key_window_ms - self.s.tick_ms if keyed else held.due
-        door, until = held.out, min(held.due, window, self.closing_at)
-        told = door.lane.wait_until > now or door.lane.telling or self.confirmation.holds(now)
-        return self.doors.get(door.entry.id) is door and not told and now < until
+        endpoint, until = held.out, min(held.due, window, self.closing_at)
+        told = endpoint.lane.wait_until > now or endpoint.lane.telling or self.confirmation.holds(now)
+        return self.endpoints.get(endpoint.entry.id) is endpoint and not told and now < until
 
     def _until(self, held: Held) -> float:
         """Until when another try is allowed: not past the attempts, nor where it could take effect twice."""
@@ -341,17 +345,17 @@
         held = self.board.held.get(event.id)
         if held is None or held.out is None or held.call is None:
             return
-        door, call, held.out, held.call = held.out, held.call, None, None
-        door.lane.out.pop(event.id, None)
-        door.lane.telling.discard(event.id)
+        endpoint, call, held.out, held.call = held.out, held.call, None, None
+        endpoint.lane.out.pop(event.id, None)
+        endpoint.lane.telling.discard(event.id)
         call.left -= 1
         if not call.left:
             self.busy -= 1
-            door.freed(now, event.outcome)
+            endpoint.freed(now, event.outcome)
         self.board.look(held.msg.destination)
         held.tries -= event.local
         if not event.outcome.proves_no_effect and held.first_risk is None:
-            held.first_risk, held.risk = held.out_since, door.entry
+            held.first_risk, held.risk = held.out_since, endpoint.entry
         held.called = held.called or event.outcome not in (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
         if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED) and held.key:
             self.key_rest = {key: at for key, at in self.key_rest.items() if at > now}
@@ -361,26 +365,28 @@
         held.ready = now + pause
         if event.wait_ms > 0:  # told to many relays at once: the growing, jittered pause comes after it
             told_at = now if call.told_at is None else call.told_at
-            door.lane.wait_until = max(door.lane.wait_until, told_at + event.wait_ms + pause)
-            door.lane.credit_at = door.lane.wait_until  # room for one comes back then, not what was saved up
+            endpoint.lane.wait_until = max(endpoint.lane.wait_until, told_at + event.wait_ms + pause)
+            endpoint.lane.credit_at = (
+                endpoint.lane.wait_until
+            )  # room for one comes back then, not what was saved up
         if event.outcome in call.taught:
             pass  # one call is one piece of evidence, however many messages shared its fate
         elif event.outcome is Outcome.OK:
-            self._answered(now, door, held, door.lane.for_one(event.latency_ms, call.size))
+            self._answered(now, endpoint, held, endpoint.lane.for_one(event.latency_ms, call.size))
         elif event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
-            self._failed(now, door, held, event)
+            self._failed(now, endpoint, held, event)
         if self.s.limit_report and len(event.report) > max(self.s.limit_report):
-            self._reported(now, door, *(event.report[n] for n in self.s.limit_report))
-        self.board.kinds[door.entry.kind].seen(event.outcome, event.wait_ms, event.kept)
+            self._reported(now, endpoint, *(event.report[n] for n in self.s.limit_report))
+        self.board.kinds[endpoint.entry.kind].seen(event.outcome, event.wait_ms, event.kept)
         call.taught.add(event.outcome)
-        self.ejections.ended(now, self._lane_key(door.entry), door.lane)
+        self.ejections.ended(now, self._lane_key(endpoint.entry), endpoint.lane)
         if event.finished or held.withdrawn:
             self.board.remove(held)
         else:
             self._wait(held)
 
-    def _answered(self, now: float, door: Door, held: Held, took: float) -> None:
-        lane = door.lane
+    def _answered(self, now: float, endpoint: EndpointState, held: Held, took: float) -> None:
+        lane = endpoint.lane
         # Refused for long, but by one that reported its limit: no outage.
         limited = lane.failed_at <= lane.last_ok and lane.report_at >= (lane.bad_since or now)
         long_bad = not lane.sick and not limited and self._long_bad(now, lane)
@@ -390,18 +396,18 @@
         lane.mean, lane.dev = averaged(lane.mean, lane.dev, took, max(0.15, 1 / (lane.answers + 1)))
         lane.last_ok, lane.stretch, lane.hold = now, 1.0, lane.hold / 2
         lane.blame *= 1 - BLAME
-        door.faults.pop(held.msg.class_, None)
+        endpoint.faults.pop(held.msg.class_, None)
         if lane.sick and lane.blame < SICK or long_bad:
             self._cold(now, lane)
         lane.bad_since = None
-        self._raise(now, door, (RISE if now > lane.free_at else GROWTH) * (not lane.reported))
+        self._raise(now, endpoint, (RISE if now > lane.free_at else GROWTH) * (not lane.reported))
 
-    def _raise(self, now: float, door: Door, gain: float) -> None:
+    def _raise(self, now: float, endpoint: EndpointState, gain: float) -> None:
         """A pace that binds gains parts of the equal part, not of what it is: so a fleet's relays draw level,
         and none rises to the whole limit, nor while a cold one's budget binds. Where the limit is told, it
         binds only if messages wait: rare calls spend all that is saved up each time."""
-        lane, part = door.lane, door.lane.total / self.s.relays
-        if lane.credit < 1 and (not lane.reported or door.entry.destination in self.board.queues):
+        lane, part = endpoint.lane, endpoint.lane.total / self.s.relays
+        if lane.credit < 1 and (not lane.reported or endpoint.entry.destination in self.board.queues):
             cold = now < lane.cold_since + self.s.safety.cold_ms
             lane.pace = max(lane.pace, min(part if cold else lane.total, lane.pace + gain * part))
 
@@ -410,8 +416,8 @@
         lane.knowers = self._knowers(now, lane)
         lane.sick, lane.cold_since, lane.credit, lane.bad_since = False, now, 0.0, None
 
-    def _failed(self, now: float, door: Door, held: Held, event: AttemptEnded) -> None:
-        lane, shut = door.lane, event.wait_ms > SHUT_MS
+    def _failed(self, now: float, endpoint: EndpointState, held: Held, event: AttemptEnded) -> None:
+        lane, shut = endpoint.lane, event.wait_ms > SHUT_MS
         lane.bad_since = held.out_since if lane.bad_since is None else lane.bad_since
         lane.ran_nothing = event.outcome.proves_no_effect
         if event.outcome is Outcome.FULL:
@@ -429,7 +435,7 @@
             if not shut:
                 return
         else:
-            door.faults[held.msg.class_] = lane.failed_at = now
+            endpoint.faults[held.msg.class_] = lane.failed_at = now
             lane.lost = event.latency_ms
             if self._rare(now, lane):  # no call saved up: those of all relays would come as one
                 lane.credit = min(lane.credit, self.rng.random())
@@ -439,10 +445,10 @@
         # failure is an outage. Guards relays that call it too seldom to see two in a row.
         recent = now - VOUCH_MS
         vouched = min(held.out_since, recent) if event.outcome is Outcome.CONNECT_FAILED else now - FADE_MS
-        alone = lane.last_ok <= vouched and all(other.faults for other in lane.doors.values())
+        alone = lane.last_ok <= vouched and all(other.faults for other in lane.endpoints.values())
         weight = BLAME if lane.last_ok < recent else VOUCHED
         lane.blame += (1.0 - lane.blame) * (SICK + 0.05 if alone or shut else weight)
-        if lane.blame > SICK and lane.doors:
+        if lane.blame > SICK and lane.endpoints:
             if not lane.sick:
                 first = self.rng.random() if self._rare(now, lane) else 0.0
                 lane.next_trickle = now + first * 1000 / self._pace(now, lane, True)[0]
@@ -451,14 +457,14 @@
             rate = self._pace(lane.wait_until, lane, True)[0]
             lane.next_trickle = lane.wait_until + 1000 / rate * self.rng.random()
 
-    def _reported(self, now: float, door: Door, left: float, limit: float) -> None:
-        lane, gain = door.lane, GROWTH * (4 * left - 2)
+    def _reported(self, now: float, endpoint: EndpointState, left: float, limit: float) -> None:
+        lane, gain = endpoint.lane, GROWTH * (4 * left - 2)
         if limit > 0:
             lane.pace, lane.total, lane.reported = lane.pace * limit / lane.total, limit, True
             lane.report_at = now
             if gain < 0:
                 lane.pace = max(lane.pace * (1 + gain), limit / self.s.relays / 3)
-            self._raise(now, door, gain)
+            self._raise(now, endpoint, gain)
 
     # -- pace, health and return -------------------------------------------------------------------------
 
@@ -531,19 +537,24 @@
 
     # -- slots and choice --------------------------------------------------------------------------------
 
-    def _door(self, now: float, held: Held, lane: Lane) -> Door | None:
+    def _endpoint(self, now: float, held: Held, lane: Lane) -> EndpointState | None:
         """The endpoint to use: not doubted, little busy, with a warm connection, cheap."""
 
-        def rank(door: Door) -> tuple[float, float, int]:
-            zone = door.entry.zone
+        def rank(endpoint: EndpointState) -> tuple[float, float, int]:
+            zone = endpoint.entry.zone
             fee = self.s.route_fees[zone] if zone < len(self.s.route_fees) else 0.0
             fee += self.s.cross_zone_price * (zone != self.s.zone)
-            door.warm = [at for at in door.warm if now - at < self.s.idle_ms * 0.9]
-            load = door.out + doubt(door, now, held.msg.class_) + 0.9 * (not door.warm) + 1.5 * (fee > 0)
-            return load, fee, door.entry.id
-
-        free = [door for door in lane.doors.values() if door.joins_at < now]
-        able = [door for door in free if self._may_send(now, held, door)]
+            endpoint.warm = [at for at in endpoint.warm if now - at < self.s.idle_ms * 0.9]
+            load = (
+                endpoint.out
+                + doubt(endpoint, now, held.msg.class_)
+                + 0.9 * (not endpoint.warm)
+                + 1.5 * (fee > 0)
+            )
+            return load, fee, endpoint.entry.id
+
+        free = [endpoint for endpoint in lane.endpoints.values() if endpoint.joins_at < now]
+        able = [endpoint for endpoint in free if self._may_send(now, held, endpoint)]
         return min(able, key=rank) if able else None
 
     def _most(self, now: float, lane: Lane, out: bool) -> int:
@@ -564,17 +575,17 @@
         best, most, latest = None, min(most, len(able)), now
         for worth, first, leads in able:
             until = self._give_up(now, first, lane, most) if leads else now
-            if until <= latest or (door := self._door(now, first, lane)) is None:
+            if until <= latest or (endpoint := self._endpoint(now, first, lane)) is None:
                 continue
             latest, fit = until, min(most, lane.room_in((until - now) / lane.takes(OVERDUE)))
             crew, size, long = [first], first.msg.size, now + lane.takes(OVERDUE) * lane.stretched(fit)
             for more, held, _ in able if fit > 1 else ():
                 fits = held.due >= long and size + held.msg.size <= self.s.call_bytes
-                if fits and len(crew) < fit and held is not first and self._may_send(now, held, door):
+                if fits and len(crew) < fit and held is not first and self._may_send(now, held, endpoint):
                     crew.append(held)
                     worth, size = worth + more, size + held.msg.size
             worth /= lane.stretched(len(crew))
-            best = (worth, crew, door) if best is None or worth > best[0] else best
+            best = (worth, crew, endpoint) if best is None or worth > best[0] else best
             if fit == most:
                 break
         return best
@@ -640,7 +651,7 @@
                 draw = 0.0 if out else self.rng.expovariate(max(1e-30, rate))
                 if best is None or draw < first:
                     best, first = (worth / cost, *choice[1:]), draw
-            elif able and any(door.joins_at == now for door in lane.doors.values()):
+            elif able and any(endpoint.joins_at == now for endpoint in lane.endpoints.values()):
                 look = min(look, now + self.s.tick_ms)
         self.board.agenda.put(dest, look if best is None else 0.0)
         return best
@@ -656,22 +667,22 @@
             until = min(held.due, now + patience * (LAST if last else 1.0))
         return min(until, self.closing_at)
 
-    def _send(self, now: float, crew: list[Held], door: Door, acts: list[Action]) -> None:
-        lane = door.lane
+    def _send(self, now: float, crew: list[Held], endpoint: EndpointState, acts: list[Action]) -> None:
+        lane = endpoint.lane
         until = min(self._give_up(now, crew[0], lane, len(crew)), *(held.due for held in crew))
-        if door.warm:
-            door.warm.pop()
+        if endpoint.warm:
+            endpoint.warm.pop()
         if suspect(lane, now):  # the next call there: spread, and rarer the longer it lasts
             lane.next_trickle = now + 1000 / self._pace(now, lane, True)[0] * self.rng.uniform(0.7, 1.3)
-        call, keep = Call(len(crew), len(crew)), self.board.kinds[door.entry.kind].full_up < SCARCE
-        door.joins_at = now if len(crew) < lane.batch else door.joins_at
+        call, keep = Call(len(crew), len(crew)), self.board.kinds[endpoint.entry.kind].full_up < SCARCE
+        endpoint.joins_at = now if len(crew) < lane.batch else endpoint.joins_at
         for held in crew:
             self.board.unqueue(held)
-            held.out, held.call, held.out_since, held.tries = door, call, now, held.tries + 1
+            held.out, held.call, held.out_since, held.tries = endpoint, call, now, held.tries + 1
             lane.out[held.msg.id] = held
-            acts.append(Send(held.msg.id, door.entry.id, until, keep))
-        door.out += 1
-        self.ejections.calling[self._lane_key(door.entry)] = lane
+            acts.append(Send(held.msg.id, endpoint.entry.id, until, keep))
+        endpoint.out += 1
+        self.ejections.calling[self._lane_key(endpoint.entry)] = lane
         lane.sent(now)
         lane.credit -= 1 + FURTHER * (len(crew) - 1) if now < lane.cold_since + self.s.safety.cold_ms else 1
         self.busy += 1
--- a/linnetstile/health.py
+++ b/linnetstile/health.py
@@ -4,7 +4,7 @@
 
 import heapq
 
-from .state import NEVER, Door, Lane
+from .state import NEVER, EndpointState, Lane
 
 FADE_MS = 10000.0  # older evidence counts no more: an answer or a failure of so long ago
 OVERDUE = 4.0  # an answer is overdue so many mean deviations above the mean
@@ -14,9 +14,9 @@
     return mean + gain * (took - mean), dev + gain * (abs(took - mean) - dev)
 
 
-def doubt(door: Door, now: float, class_: int) -> float:
+def doubt(endpoint: EndpointState, now: float, class_: int) -> float:
     """Guards against an endpoint that fails, or fails one class: others go first until that fades."""
-    recent = [c for c, at in door.faults.items() if now - at < FADE_MS]
+    recent = [c for c, at in endpoint.faults.items() if now - at < FADE_MS]
     return 8.0 * (class_ in recent) + 2.0 * len(recent)
 
 
@@ -26,12 +26,12 @@
         return lane.sick
     overdue = now - lane.takes(OVERDUE)
     late = [held.out for held in lane.out.values() if held.out and lane.last_ok <= held.out_since < overdue]
-    return bool(late) and {door.entry.id for door in late}.issuperset(lane.doors)
+    return bool(late) and {endpoint.entry.id for endpoint in late}.issuperset(lane.endpoints)
 
 
 def forgotten(lane: Lane, now: float) -> bool:
     """Nothing is listed or out there, and what was seen of it tells nothing any more."""
-    return not (lane.doors or lane.out or now <= max(lane.wait_until, (lane.bad_since or 0.0) + FADE_MS))
+    return not (lane.endpoints or lane.out or now <= max(lane.wait_until, (lane.bad_since or 0.0) + FADE_MS))
 
 
 class Ejections:
@@ -42,18 +42,18 @@
         self.ids: set[int] = set()  # in a destination that is out, or with a failure that has not faded
         self.calling: dict[tuple[int, int], Lane] = {}  # those with calls out, whose answers may be overdue
         self.fades: list[tuple[float, int]] = []  # heap: when an endpoint is looked at again
-        self.fading: dict[int, tuple[float, Door]] = {}  # endpoint -> its place there
+        self.fading: dict[int, tuple[float, EndpointState]] = {}  # endpoint -> its place there
 
     def see(self, now: float, lane: Lane) -> None:
         """Called whenever what speaks for or against a destination or its endpoints has changed."""
-        for ident, door in lane.doors.items():
-            until = max(door.faults.values(), default=NEVER) + FADE_MS
+        for ident, endpoint in lane.endpoints.items():
+            until = max(endpoint.faults.values(), default=NEVER) + FADE_MS
             if lane.sick or now < until:
                 self.ids.add(ident)
             else:
                 self.ids.discard(ident)
             if now < until and (ident not in self.fading or until < self.fading[ident][0]):
-                self.fading[ident] = until, door
+                self.fading[ident] = until, endpoint
                 heapq.heappush(self.fades, (until, ident))
 
     def ended(self, now: float, key: tuple[int, int], lane: Lane) -> None:
@@ -62,9 +62,9 @@
         if not lane.out:
             self.calling.pop(key, None)
 
-    def drop(self, door: Door) -> None:
-        self.ids.discard(door.entry.id)
-        self.fading.pop(door.entry.id, None)
+    def drop(self, endpoint: EndpointState) -> None:
+        self.ids.discard(endpoint.entry.id)
+        self.fading.pop(endpoint.entry.id, None)
 
     def ejected(self, now: float) -> set[int]:
         return self._settled(now) | self._overdue(now)
@@ -82,4 +82,4 @@
 
     def _overdue(self, now: float) -> set[int]:
         late = [lane for lane in self.calling.values() if not lane.sick and suspect(lane, now)]
-        return {ident for lane in late for ident in lane.doors} - self.ids
+        return {ident for lane in late for ident in lane.endpoints} - self.ids
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -26,10 +26,10 @@
 from .intake import Intake, Malformed
 from .invariants import LATE_MS, Invariants, Rule
 from .journal import Entry, Journal, JournalError
-from .management import SOCKETS as DOOR_SOCKETS
+from .management import SOCKETS as MANAGEMENT_SOCKETS
 from .management import Answer as Told
 from .management import Call as Ask
-from .management import Door
+from .management import ManagementServer
 from .outcomes import Notices
 from .replacement import Replacement
 from .runtime_checks import RuntimeChecks
@@ -108,7 +108,7 @@
         self.found: set[str] = set()  # ids that an earlier process left: their time may be over
         self.draining = False  # clients are sent away until a resume
         self.stopping = False
-        self.door: Door | None = None
+        self.management: ManagementServer | None = None
         self.loop: asyncio.AbstractEventLoop | None = None
         self.replacement = Replacement(
             self.journal, self.relay, self.directory, self._turn_now, self._take_up, self._withdrawn
@@ -156,7 +156,7 @@
     async def start(self) -> None:
         self.loop = asyncio.get_running_loop()
         if self.config.mgmt is not None:
-            self.door = Door(
+            self.management = ManagementServer(
                 {
                     "/-/ready": Ask("GET", self._tell_ready),
                     "/-/metrics": Ask("GET", lambda: Told(200, self.figures.text())),
@@ -164,7 +164,7 @@
                     "/-/resume": Ask("POST", lambda: self.drain(False)),
                 }
             )
-            self.door.open(self.config.mgmt)
+            self.management.open(self.config.mgmt)
         if self.config.known:
             try:
                 self.directory.apply(self.config.known)
@@ -243,8 +243,8 @@
 
     async def close(self) -> None:
         self.closed = self.stopping = True
-        if self.door is not None:
-            self.door.close()
+        if self.management is not None:
+            self.management.close()
         self.ingress.stop()
         for timer in (self.turn, self.timer):
             if timer is not None:
@@ -260,7 +260,7 @@
     # -- operators ---------------------------------------------------------------------------------------
 
     def _tell_ready(self) -> Told:
-        """Called on the door's thread, as are the other calls that it is given."""
+        """Called on the management server's thread, as are the other calls that it is given."""
         if self.ready and not self.stopping and not self.draining:
             return Told(200, "ready")
         why = "stopping" if self.stopping else "draining" if self.draining else "starting"
@@ -350,7 +350,7 @@
         leaves every call its descriptor."""
         config, both = self.config, 1 + self.replacement.pair
         idle, ending = max(1, config.sockets // 8 // both), max(1, config.sockets // 16 // both)
-        own = (OWN_SOCKETS + DOOR_SOCKETS) * both
+        own = (OWN_SOCKETS + MANAGEMENT_SOCKETS) * both
         clients = (config.sockets - own - config.settings.slots) // both - idle - ending - ACCEPTS
         self.egress.most_idle, self.egress.most_ending = idle, ending
         if self.replacement.mode is not self.linked:  # the other's connections are to take the place of ours
--- a/linnetstile/net/management.py
+++ b/linnetstile/net/management.py
@@ -1,4 +1,4 @@
-"""The operators' door: an address apart, where staff read figures and send clients away.
+"""The management server: an address apart, where staff read figures and send clients away.
 
 It has a thread and a loop of its own, so that it answers however busy the relay's loop is. What it calls must
 therefore be quick and safe to call from there: it reads what is in memory, or sets a flag.
@@ -42,8 +42,8 @@
 class Caller(asyncio.Protocol):
     """One connection: one call, one answer."""
 
-    def __init__(self, door: Door) -> None:
-        self.door = door
+    def __init__(self, server: ManagementServer) -> None:
+        self.server = server
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=BYTES)
         self.request: h11.Request | None = None
         self.read = 0
@@ -54,13 +54,13 @@
         self.transport = transport
         # asyncio does so itself only where the listener's protocol is named: `create_server` names none.
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.door.admit(self)
+        self.server.admit(self)
         # Guards the places of others against one that stalls: it gets an end, heard or not.
         self.timer = asyncio.get_running_loop().call_later(CALL_S, transport.abort)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.timer.cancel()
-        self.door.callers.pop(self, None)
+        self.server.callers.pop(self, None)
 
     def data_received(self, data: bytes) -> None:
         self.read += len(data)
@@ -78,7 +78,7 @@
                     self.request = event
                 elif isinstance(event, h11.EndOfMessage) and self.request is not None:
                     self._answer(
-                        self.door.answer(
+                        self.server.answer(
                             self.request.method.decode("ascii"), self.request.target.decode("latin-1")
                         )
                     )
@@ -115,7 +115,7 @@
             self.transport.write_eof()
 
 
-class Door:
+class ManagementServer:
     def __init__(self, calls: dict[str, Call]) -> None:
         self.calls = calls
         self.callers: dict[Caller, None] = {}  # oldest first
@@ -148,7 +148,7 @@
         self.port = int(sock.getsockname()[1])
         up = threading.Event()
         self.thread = threading.Thread(
-            target=lambda: asyncio.run(self._serve(sock, up)), name="door", daemon=True
+            target=lambda: asyncio.run(self._serve(sock, up)), name="management", daemon=True
         )
         self.thread.start()
         up.wait(START_S)
--- a/linnetstile/state.py
+++ b/linnetstile/state.py
@@ -38,7 +38,7 @@
     worth: float
     ready: float  # no try before
     tries: int = 0
-    out: Door | None = None
+    out: EndpointState | None = None
     call: Call | None = None  # while out
     out_since: float = 0.0
     first_risk: float | None = None  # send of the first attempt that may have run
@@ -84,7 +84,7 @@
 
 
 @dataclass(slots=True)
-class Door:
+class EndpointState:
     """One endpoint as this relay sees it."""
 
     entry: Endpoint
@@ -114,7 +114,7 @@
     batch: int = 1  # messages in one call, at most
     listed: bool = True  # with a rate
     calls: int = 0  # out
-    doors: dict[int, Door] = field(default_factory=dict)
+    endpoints: dict[int, EndpointState] = field(default_factory=dict)
     out: dict[int, Held] = field(default_factory=dict)
     reported: bool = False  # its limit was told in answers: better than the list's rough rate
     report_at: float = NEVER  # the latest report
--- a/tests/test_costs.py
+++ b/tests/test_costs.py
@@ -185,8 +185,8 @@
     """By the definition: out, overdue, or with a failure that has not faded."""
     return {
         ident
-        for ident, door in d.relay.doors.items()
-        if suspect(door.lane, d.now) or any(d.now - at < FADE_MS for at in door.faults.values())
+        for ident, endpoint in d.relay.endpoints.items()
+        if suspect(endpoint.lane, d.now) or any(d.now - at < FADE_MS for at in endpoint.faults.values())
     }
 
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -371,10 +371,10 @@
             }
             assert {name: len(what) for name, what in sizes.items() if len(what)} == {}
             assert len(directory.by_name) == len(directory.by_number) == len(host.egress.idle) == 1
-            assert list(host.dests) == [] and list(directory.dests) == [39] and len(relay_.doors) == 1
+            assert list(host.dests) == [] and list(directory.dests) == [39] and len(relay_.endpoints) == 1
             assert len(relay_.lanes) == 38  # what they have learned fades in 10 s, and then goes
             relay_.handle(host.now() + 60_000.0, [])
-            relay_._drop(host.now() + 60_000.0, relay_.doors.pop(next(iter(relay_.doors))))
+            relay_._drop(host.now() + 60_000.0, relay_.endpoints.pop(next(iter(relay_.endpoints))))
             assert len(relay_.lanes) <= 1
             assert len(host.tasks.running) == 7  # watch, notices, watchdog, two that sweep, two that look
 
@@ -557,12 +557,12 @@
             agent.tell(listing(server, generation=2, reset=False, state="draining"))
             await until(lambda: host.directory.version == 2)
         async with relay(state, agent, server) as host, Client(host.ingress.port) as client:
-            assert not host.relay.doors
+            assert not host.relay.endpoints
             assert await client.ask(message("m")) == 202
             agent.tell(listing(server, generation=3))
             agent.tell(listing(server, generation=4))  # the earlier process's watch may take one
             assert (await server.came.get()).headers["x-trace-id"] == "m"
         async with relay(state, agent, server) as host:
-            assert len(host.relay.doors) == 1  # it was ready again
+            assert len(host.relay.endpoints) == 1  # it was ready again
 
     run(work())
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -1,4 +1,4 @@
-"""The operators' door, its figures, and sending clients away: on loopback sockets."""
+"""The management server, its figures, and sending clients away: on loopback sockets."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 from linnetstile.net.config import ConfigError, load
 from linnetstile.net.figures import Figures
 from linnetstile.net.host import Host
-from linnetstile.net.management import Answer, Call, Door
+from linnetstile.net.management import Answer, Call, ManagementServer
 
 from .conftest import SAFE, Driver
 from .loopback import Agent, Client, Server, answer, host_of, message, raw_config, run, until
@@ -50,8 +50,8 @@
 
 
 async def call(host: Host, method: str, path: str) -> tuple[int, str]:
-    assert host.door is not None
-    status, _, body = await asyncio.to_thread(ask, host.door.port, request(method, path))
+    assert host.management is not None
+    status, _, body = await asyncio.to_thread(ask, host.management.port, request(method, path))
     return status, body
 
 
@@ -77,8 +77,8 @@
 
 
 @pytest.fixture
-def door() -> Any:
-    opened = Door(
+def server() -> Any:
+    opened = ManagementServer(
         {
             "/-/ready": Call("GET", lambda: Answer(200, "ready")),
             "/-/drain": Call("POST", lambda: Answer(200, "draining")),
@@ -105,15 +105,17 @@
         (b"GET / HTTP/1.1\r\nHost: x\r\nX: " + b"a" * 9000, 413, ""),
     ],
 )
-def test_each_call_gets_one_answer_and_an_end(door: Door, data: bytes, status: int, says: str) -> None:
-    with socket.create_connection(("127.0.0.1", door.port), timeout=30) as sock:
+def test_each_call_gets_one_answer_and_an_end(
+    server: ManagementServer, data: bytes, status: int, says: str
+) -> None:
+    with socket.create_connection(("127.0.0.1", server.port), timeout=30) as sock:
         sock.sendall(data)
         told = read_all(sock).decode()
     assert told.startswith(f"HTTP/1.1 {status} ") and says in told and "Connection: close\r\n" in told
 
 
-def test_a_call_may_come_byte_by_byte(door: Door) -> None:
-    with socket.create_connection(("127.0.0.1", door.port), timeout=30) as sock:
+def test_a_call_may_come_byte_by_byte(server: ManagementServer) -> None:
+    with socket.create_connection(("127.0.0.1", server.port), timeout=30) as sock:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         for byte in request("GET", "/-/ready"):
             sock.sendall(bytes([byte]))
@@ -121,35 +123,35 @@
 
 
 def test_callers_that_stall_keep_nobody_out_and_are_let_go(
-    door: Door, monkeypatch: pytest.MonkeyPatch
+    server: ManagementServer, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     with ExitStack() as stack:
         stalled = []
         for _ in range(4 * management.CALLERS):
-            sock = socket.create_connection(("127.0.0.1", door.port), timeout=30)
+            sock = socket.create_connection(("127.0.0.1", server.port), timeout=30)
             stalled.append(stack.enter_context(sock))
             sock.sendall(b"GET /-/re")
         for _ in range(3):
-            assert ask(door.port, request("GET", "/-/ready"))[0] == 200
-        assert len(door.callers) <= management.CALLERS
+            assert ask(server.port, request("GET", "/-/ready"))[0] == 200
+        assert len(server.callers) <= management.CALLERS
         for sock in stalled:  # the ones left are ended by their deadline
             with pytest.raises(ConnectionError):
                 read_all(sock)
                 raise ConnectionError  # an orderly end will do
-        while door.callers:
+        while server.callers:
             time.sleep(0.005)
 
 
 def test_the_door_answers_while_the_relays_loop_is_held_up(tmp_path: Path) -> None:
     async def work() -> None:
         async with world(tmp_path) as (_, _, host):
-            assert host.door is not None
+            assert host.management is not None
             told: list[int] = []
             done = threading.Event()
 
             def operator() -> None:
                 for method, path in (("GET", "/-/ready"), ("GET", "/-/metrics"), ("POST", "/-/drain")):
-                    told.append(ask(host.door.port, request(method, path))[0])  # type: ignore[union-attr]
+                    told.append(ask(host.management.port, request(method, path))[0])  # type: ignore[union-attr]
                 done.set()
 
             threading.Thread(target=operator, daemon=True).start()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -44,8 +44,8 @@
         host = host_of(tmp_path / "state", agent, server, mgmt="127.0.0.1:0")
         await host.start()
         agent.tell(listing(server, generation=2))
-        assert host.door is not None
-        async with Client(host.ingress.port) as client, Client(host.door.port) as staff:
+        assert host.management is not None
+        async with Client(host.ingress.port) as client, Client(host.management.port) as staff:
             assert await staff.ask(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n") == 200
             assert await client.ask(message("m")) == 202
             await server.came.get()
