Log the soak's troubles with their times

Change: each soak's folder has troubles.log, in the relays' own time format: each trouble's beginning and end, each failing call with its rate and span.

--- a/linnetstile/soak/run.py
+++ b/linnetstile/soak/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import time
 from dataclasses import dataclass, field
@@ -67,6 +68,9 @@
     def __post_init__(self) -> None:
         self.addresses = Addresses(self.plan.seed)
         self.paths = Paths.of(self.plan.seed)
+        self.log = logging.getLogger(f"linnetstile.soak.{self.plan.seed}")
+        self.log.setLevel(logging.INFO)
+        self.log.propagate = False
 
     def place(self, stand_in: StandIn) -> None:
         """At the end of a path of its own."""
@@ -80,9 +84,15 @@
         if self.plan.relays is not None:
             world = World(self.plan.relays, world.destinations, world.pushed)
         listing = await self._list_endpoints(world, rng)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        handler = logging.FileHandler(self.folder / "troubles.log")
+        handler.setFormatter(logging.Formatter("%(asctime)s %(message)s"))
+        self.log.addHandler(handler)
         try:
             await self._play(world, listing, rng)
         finally:
+            self.log.removeHandler(handler)
+            handler.close()
             for relay in self.relays:
                 relay.kill()
         windows_s = {"keyed": WINDOW_MS / 1000}
@@ -156,6 +166,7 @@
             self.addresses,
             another,
             self.place,
+            self.log,
         )
         async with asyncio.TaskGroup() as tasks:
             for each in clients:
--- a/linnetstile/soak/trouble.py
+++ b/linnetstile/soak/trouble.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import signal
 import time
@@ -63,6 +64,7 @@
     addresses: Addresses
     new_endpoint: Callable[[Endpoint], Awaitable[Endpoint]]
     place: Callable[[Platform], None]  # at the end of a path
+    log: logging.Logger
     folder_fails: bool = True
 
     async def run(self, until: float) -> None:
@@ -94,7 +96,13 @@
                 await asyncio.sleep(self.rng.uniform(*PAUSE_S))
                 kind = self.rng.choice(kinds)
                 self.ledger.faults[kind.__name__] += 1
-                tasks.create_task(kind())
+                tasks.create_task(self._logged(kind))
+
+    async def _logged(self, kind: Callable[[], Awaitable[None]]) -> None:
+        """With its times, to be held against the relays' logs."""
+        self.log.info("%s begins", kind.__name__)
+        await kind()
+        self.log.info("%s ends", kind.__name__)
 
     def _series(self) -> list[float]:
         return [self.rng.uniform(*SERIES_S) for _ in range(self.rng.choice([0, 0, 1, 2, 3]))]
@@ -186,7 +194,9 @@
         self, relay: RelayProcess, fault: tuple[str, str], every: list[int], seconds: float
     ) -> None:
         name, kind = fault
-        relay.set_failing(**{name: [kind, self.rng.choice(every)]})
+        chosen = self.rng.choice(every)
+        self.log.info("relay %d: %s %s, one of %d, for %.2f s", relay.number, name, kind, chosen, seconds)
+        relay.set_failing(**{name: [kind, chosen]})
         await asyncio.sleep(seconds)
         relay.set_failing(**{name: None})
 
