--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Accepted messages whose end never comes: see claim.txt."""
+"""A message that must not be repeated is delivered twice: see claim.txt."""
 
 from __future__ import annotations
 
@@ -8,13 +8,12 @@
 
 import stand_ins as stand
 
-MESSAGES = 24  # more than the folder of 3 MB takes: the rest is refused
 BODY_BYTES = 60_000  # PROTOCOL: "A body holds 64 KiB at most."
-LONG_MS, SHORT_MS = 15_000, 8_000  # the class's deadline is 16 s
-LONG_ONES = 8
-LOST_S = 0.3 + 0.05  # PROTOCOL: lost "if 300 ms after its time is up"; "Each time limit grows by 50 ms."
-RESTART_S = 1.5 + 0.05  # PROTOCOL: "until 1.5 s after the relay is ready again", and 50 ms as above
-OWN_S = 0.25  # this script may itself be late by so much
+LEFT_MS = 16_000  # the class's deadline
+FILLERS = 7  # for the destination that stays down: they hold the room that the second process has
+ONCE_ONES = 16  # more than the folder of 3 MB takes: the rest is refused
+OUTAGE_S = 9.0  # BRIEF: "refuse connections for 8.9 to 21 s"
+DELIVERED_BEFORE_KILL = 3
 relays: list[stand.Relay] = []
 
 
@@ -28,43 +27,52 @@
 
 
 async def play(record: stand.Record, folder: Path) -> list[str]:
-    endpoint = stand.Endpoint(record, "s-1", 1)  # refuses connections all the time: it is never opened
+    returning = stand.Endpoint(record, "s-1", 1)  # refuses connections until it is opened
+    returning.takes_s = 0.5
+    down = stand.Endpoint(record, "s-2", 2)  # refuses connections all the time
     platform = stand.Platform(record)
-    platform.change(endpoint, "ready")
+    platform.change(returning, "ready")
+    platform.change(down, "ready")
     await platform.open()
     relay = stand.Relay(record, folder, platform, stand.settings())
     relays.append(relay)
     relay.configure(platform.whole(), mgmt=stand.free_address())
     first = await relay.start()
     await relay.ready()
-    messages = []
-    for number in range(MESSAGES):
-        left_ms = LONG_MS if number < LONG_ONES else SHORT_MS
-        body = bytes([number]) * BODY_BYTES
-        messages.append(await stand.hand_in(record, relay, f"m-{number}", "safe", 1, left_ms, body))
-    accepted = [message for message in messages if message.accepted]
-    record.add(f"{len(accepted)} of {MESSAGES} messages are accepted")
-    if len(accepted) <= LONG_ONES:
-        raise stand.CannotRun("too few messages were accepted")
-    ready_s = stand.now_s()
-    if stand.trouble_wanted():  # the process is replaced: LATER, "Replacing the process"
-        door = stand.free_address()
-        relay.configure(platform.whole(), mgmt=door)
+    for number in range(FILLERS):
+        await stand.hand_in(record, relay, f"filler-{number}", "safe", 2, LEFT_MS, bytes(BODY_BYTES))
+    for number in range(ONCE_ONES):
+        await stand.hand_in(record, relay, f"once-{number}", "once", 1, LEFT_MS, bytes(BODY_BYTES))
+    # The process is replaced, in both runs: LATER, "Replacing the process".
+    door = stand.free_address()
+    relay.configure(platform.whole(), mgmt=door)
+    second = await relay.start()
+    await door_says_yes(door)
+    await relay.end(first, signal.SIGTERM)
+    await asyncio.sleep(max(0.0, OUTAGE_S - stand.now_s()))
+    await returning.open()
+    for _ in range(600):
+        if len(returning.delivered) >= DELIVERED_BEFORE_KILL:
+            break
+        await asyncio.sleep(0.01)
+    else:
+        raise stand.CannotRun("too little was delivered in time")
+    delivered = dict(returning.delivered)
+    await asyncio.sleep(0.2)  # their answers are read, and written down
+    if stand.trouble_wanted():
+        await relay.end(second, signal.SIGKILL)
+        await asyncio.sleep(stand.DOWN_S)
         await relay.start()
-        await door_says_yes(door)
-        ready_s = stand.now_s()
-        await relay.end(first, signal.SIGTERM)
-    last_s = max(message.due_s for message in accepted)
-    await asyncio.sleep(max(0.0, last_s + 2.0 - stand.now_s()))
+        await relay.ready()
+    await asyncio.sleep(6.0)
     broken = []
-    for message in accepted:
-        by_s = max(message.due_s + LOST_S, ready_s + RESTART_S)
-        ends_s = [endpoint.delivered.get(message.ident), platform.notices.get(message.ident, (None,))[0]]
-        told_s = min((at for at in ends_s if at is not None), default=None)
-        if told_s is None:
-            broken.append(f"lost: {message.ident} has no end, which was owed by {by_s:.3f}")
-        elif told_s > by_s + OWN_S:
-            broken.append(f"lost: {message.ident} ended at {told_s:.3f}, which was owed by {by_s:.3f}")
+    for ident, delivered_s in delivered.items():
+        calls = [call for call in returning.calls if ident in call.idents]
+        if len(calls) > 1:
+            broken.append(
+                f"duplicate: {ident} of class once was answered 200 at {delivered_s:.3f} "
+                f"and is sent again at {calls[-1].first_byte_s:.3f}"
+            )
     return broken
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Calls to an endpoint that drains, after a restart: see claim.txt."""
+"""Accepted messages whose end never comes: see claim.txt."""
 
 from __future__ import annotations
 
@@ -8,53 +8,64 @@
 
 import stand_ins as stand
 
-DRAIN_GRACE_S = (
-    0.25 + 0.05
-)  # safety.drain-grace-ms of the settings; PROTOCOL: "Each time limit grows by 50 ms."
-HELD_UP_S = 0.15  # STANDING: held up "for up to 0.15 s"; the grace covers it, so this is to spare
-MESSAGES = 8
-SLOW_S = 0.5  # of one call: the calls are out as the kill comes
+MESSAGES = 24  # more than the folder of 3 MB takes: the rest is refused
+BODY_BYTES = 60_000  # PROTOCOL: "A body holds 64 KiB at most."
+LONG_MS, SHORT_MS = 15_000, 8_000  # the class's deadline is 16 s
+LONG_ONES = 8
+LOST_S = 0.3 + 0.05  # PROTOCOL: lost "if 300 ms after its time is up"; "Each time limit grows by 50 ms."
+RESTART_S = 1.5 + 0.05  # PROTOCOL: "until 1.5 s after the relay is ready again", and 50 ms as above
+OWN_S = 0.25  # this script may itself be late by so much
 relays: list[stand.Relay] = []
 
 
+async def door_says_yes(address: stand.Address) -> None:
+    """Waits until the second process takes clients."""
+    for _ in range(1200):
+        if await stand.status_of(address, "GET", "/-/ready") == 200:
+            return
+        await asyncio.sleep(0.005)
+    raise stand.CannotRun("the second process does not say yes within 6 s")
+
+
 async def play(record: stand.Record, folder: Path) -> list[str]:
-    old = stand.Endpoint(record, "s-1", 1)
-    added = stand.Endpoint(record, "s-2", 1)
+    endpoint = stand.Endpoint(record, "s-1", 1)  # refuses connections all the time: it is never opened
     platform = stand.Platform(record)
-    platform.change(old, "ready")
-    await old.open()
-    await added.open()
+    platform.change(endpoint, "ready")
     await platform.open()
     relay = stand.Relay(record, folder, platform, stand.settings())
     relays.append(relay)
-    relay.configure(platform.whole())
-    process = await relay.start()
+    relay.configure(platform.whole(), mgmt=stand.free_address())
+    first = await relay.start()
     await relay.ready()
-    await asyncio.sleep(2.0)
-    platform.change(added, "ready")
-    await asyncio.sleep(2.0)
-    list_with_added = platform.whole()  # what the relay has by now: it may be old at the next start
-    platform.change(added, "draining")
-    await asyncio.sleep(2.0)
-    told_s = platform.told_s.get((added.name, "draining"))
-    if told_s is None:
-        raise stand.CannotRun("the relay did not ask for the list")
-    old.takes_s = added.takes_s = SLOW_S
+    messages = []
     for number in range(MESSAGES):
-        await stand.hand_in(record, relay, f"m-{number}", "safe", 1, 8000, b"hello")
-    if stand.trouble_wanted():
-        relay.configure(list_with_added)
-        await relay.end(process, signal.SIGKILL)
-        await asyncio.sleep(stand.DOWN_S)
+        left_ms = LONG_MS if number < LONG_ONES else SHORT_MS
+        body = bytes([number]) * BODY_BYTES
+        messages.append(await stand.hand_in(record, relay, f"m-{number}", "safe", 1, left_ms, body))
+    accepted = [message for message in messages if message.accepted]
+    record.add(f"{len(accepted)} of {MESSAGES} messages are accepted")
+    if len(accepted) <= LONG_ONES:
+        raise stand.CannotRun("too few messages were accepted")
+    ready_s = stand.now_s()
+    if stand.trouble_wanted():  # the process is replaced: LATER, "Replacing the process"
+        door = stand.free_address()
+        relay.configure(platform.whole(), mgmt=door)
         await relay.start()
-        await relay.ready()
-    await asyncio.sleep(4.0)
-    return [
-        f"drain: {' '.join(call.idents)} is sent to {added.name} {call.first_byte_s - told_s:.2f} s after "
-        "its relay was told that it drains"
-        for call in added.calls
-        if call.first_byte_s > told_s + DRAIN_GRACE_S + HELD_UP_S
-    ]
+        await door_says_yes(door)
+        ready_s = stand.now_s()
+        await relay.end(first, signal.SIGTERM)
+    last_s = max(message.due_s for message in accepted)
+    await asyncio.sleep(max(0.0, last_s + 2.0 - stand.now_s()))
+    broken = []
+    for message in accepted:
+        by_s = max(message.due_s + LOST_S, ready_s + RESTART_S)
+        ends_s = [endpoint.delivered.get(message.ident), platform.notices.get(message.ident, (None,))[0]]
+        told_s = min((at for at in ends_s if at is not None), default=None)
+        if told_s is None:
+            broken.append(f"lost: {message.ident} has no end, which was owed by {by_s:.3f}")
+        elif told_s > by_s + OWN_S:
+            broken.append(f"lost: {message.ident} ended at {told_s:.3f}, which was owed by {by_s:.3f}")
+    return broken
 
 
 stand.main(Path(__file__).parent, play, relays)
