Hold every message at a replacement of the process on a full folder

Cause: a taker copied each body, found room for half, and the rest stood only in the file of a process that had ended. No turn, timer or watchdog knew them.

Change: without room for the body the taker writes a record that says `borrowed` and holds the message; the file with the body stays until nothing that is owed has its body there alone. The same for messages that come back, over kills, with three processes (the earliest that lives takes up from a dead file; a copy that a living process holds counts first), and while the folder takes no records. The ends in a dead file are written before it is removed. The other files and the folder's arithmetic have modules of their own. Test: DISK limits are a DiskBudget now, so two tests name it (as strict).

--- a/linnetstile/net/book.py
+++ b/linnetstile/net/book.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import logging
+import math
 from collections.abc import Iterable
 from typing import Any
 
 from . import clock
-from .records import TORN, WITHDRAWN, Attempt, Entry, decode, entry_of
+from .records import TORN, WITHDRAWN, Attempt, Entry, decode, entry_of, settled
 
 log = logging.getLogger(__name__)
 
@@ -15,6 +17,7 @@
 # takes: two processes' files then left each other no room while the folder was half empty.
 SMALL = 640  # no record but an accepted message's is longer, nor what they add to its line
 ENDED = 320  # nothing is added to it any more
+SETTLED = 128  # many share a record; also bounds how many of them memory holds
 STEP_MS = 1000.0  # the monotonic clock never goes back: if it seems to by so much, the boot is another
 WINDOW_CLOSED_MS = -1e12  # when an attempt began that another boot made: no key window is still open
 
@@ -26,6 +29,7 @@
         self.entries: dict[str, Entry] = {}
         self.sizes: dict[str, int] = {}  # of each entry's line, were it compacted now
         self.live = 0  # their sum
+        self.first_over_ms = math.inf  # when the first of those that have ended may be forgotten
         self.role = ""  # of its process: see replacement.py
         self.calls: dict[str, int] = {}  # out while it yields, by destination
         self.lanes: dict[tuple[int, str], list[list[Any]]] = {}  # what it told of destinations and routes
@@ -67,6 +71,7 @@
             log.warning("journal: its times are of another boot or version, and move by %.0f ms", shift)
             for entry in self.entries.values():
                 self._rebase(entry, shift)
+            self.first_over_ms += shift
         self.boot, self.latest_ms = boot, at_ms
 
     def _rebase(self, entry: Entry, shift_ms: float) -> None:
@@ -94,11 +99,14 @@
             case "listed":
                 self.unlisted.difference_update(str(name) for name in record["names"])
             case "give":
-                for ident in record["ids"]:
-                    self.entries[str(ident)].given = True
+                for entry in filter(None, map(self.entries.get, record["ids"])):
+                    entry.given = True
             case "handed":
                 for ident in record["ids"]:
                     self._forget(str(ident))
+            case "ends":
+                for ident, due, after_ms in record["of"]:
+                    self._put(settled(str(ident), str(record["state"]), float(due), float(after_ms)))
             case _:
                 return False
         return True
@@ -107,10 +115,10 @@
         ident = str(record["id"])
         match record["k"]:
             case "take":
-                self._put(entry_of(record))
+                self._take(entry_of(record))
             case "drop":
                 self.withdrawn_ids.append(ident)
-                self._withdraw(ident)
+                self._withdraw(ident, bool(record.get("elsewhere")))
             case "again":
                 self.repeated_ids.add(ident)
             case "void":  # its `take` was refused to its client, and may stand here all the same
@@ -137,24 +145,33 @@
                 entry.told = True
             case kind:
                 raise ValueError(f"unknown record {kind!r}")
-
-    def _withdraw(self, ident: str) -> None:
-        """One that may have run, or that the other process has, is remembered: its id may come again."""
+        if entry.is_settled:
+            self._put(settled(entry.id, entry.end, entry.due, entry.after_ms))
+
+    def _take(self, entry: Entry) -> None:
+        """A snapshot without a body says what has become of a message whose body came before."""
+        known = self.entries.get(entry.id)
+        if entry.borrowed and known is not None and not known.end:
+            entry.body, entry.borrowed = known.body, known.borrowed
+        self._put(entry)
+
+    def _withdraw(self, ident: str, elsewhere: bool) -> None:
+        """One that may have run, or of which another file tells, is remembered: its id may come again."""
         entry = self.entries.get(ident)
         if entry is None or entry.end:
             return
-        if entry.may_have_run or entry.given:
+        if entry.may_have_run or entry.given or elsewhere:
             entry.end, entry.body = WITHDRAWN, b""
             self._put(entry)
         else:
             self._forget(ident)
 
     def _put(self, entry: Entry) -> None:
-        self.live -= self.sizes.get(entry.id, 0)
-        size = len(entry.id) + len(entry.class_) + len(entry.tenant) + len(entry.key or "")
-        size += (ENDED if entry.end else SMALL) + 4 * ((len(entry.body) + 2) // 3)
+        size = _line_bytes(entry)
+        self.live += size - self.sizes.get(entry.id, 0)
         self.entries[entry.id], self.sizes[entry.id] = entry, size
-        self.live += size
+        if entry.end:
+            self.first_over_ms = min(self.first_over_ms, entry.due)
 
     def _forget(self, ident: str) -> None:
         self.repeated_ids.discard(ident)
@@ -163,5 +180,25 @@
 
     def forget_old(self, now_ms: float) -> None:
         """The ended whose time is up: until then a repeated id gets its answer again."""
-        for entry in [e for e in self.entries.values() if e.end and not e.owes_notice and e.due < now_ms]:
+        for entry in [e for e in self.entries.values() if e.due < now_ms and self._may_forget(e)]:
             self._forget(entry.id)
+        ended = (entry.due for entry in self.entries.values() if entry.end)
+        self.first_over_ms = min(ended, default=math.inf)
+
+    def _may_forget(self, entry: Entry) -> bool:
+        """Whether one whose time is up needs no record any more."""
+        return bool(entry.end) and not entry.owes_notice
+
+
+def _line_bytes(entry: Entry) -> int:
+    """Of an entry's line in a compacted file, at most, with what its later records add to it."""
+    if entry.is_settled:
+        return SETTLED + _text_bytes(entry.id)
+    size = sum(map(_text_bytes, (entry.id, entry.class_, entry.tenant, entry.key or "")))
+    body = 0 if entry.end or entry.borrowed else 4 * ((len(entry.body) + 2) // 3)
+    return size + body + (ENDED if entry.end else SMALL)
+
+
+def _text_bytes(text: str) -> int:
+    """As JSON: quotes and backslashes take two."""
+    return len(json.dumps(text))
--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -5,7 +5,7 @@
 no call begins whose try is not on file.
 
 Each process writes a file of its own, locked while it runs, and reads along in that of the other if there are
-two (`Other`): see docs/design.md, "Replacing the process". A later process's file has a higher number.
+two (`OtherJournal`): see docs/design.md, "Replacing the process". A later process's file has a higher number.
 """
 
 from __future__ import annotations
@@ -15,22 +15,34 @@
 import re
 from collections import deque
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
+from ..disk_budget import SMALLEST_COMPACTED_BYTES, DiskBudget, FileSizes, in_blocks
 from . import clock
 from .book import SMALL, Book
-from .journal_file import JournalFile, LineReader, lock
-from .records import Attempt, Entry, decode, encode, in_parts, progress, resumed, snapshot
+from .journal_file import JournalFile
+from .other_journal import OtherJournal, OtherJournals
+from .records import (
+    Attempt,
+    Entry,
+    decode,
+    encode,
+    in_parts,
+    progress,
+    resumed,
+    settled_records,
+    snapshot,
+    state_of,
+)
 
 __all__ = [
-    "BLOCK",
     "Attempt",
     "Entry",
     "Journal",
     "JournalError",
     "JournalFull",
-    "Other",
     "decode",
     "encode",
     "snapshot",
@@ -38,10 +50,7 @@
 
 log = logging.getLogger(__name__)
 
-BLOCK = 512  # each file counts in whole blocks
 STAMP = 48  # bytes that `n`, `t` and `b` add to a record
-SLACK = 64 * BLOCK  # kept free for the records of messages that are held already
-ROOMY = 256 * 1024  # a file under this size is left alone
 NAME = re.compile(r"journal(?:-(\d{1,9}))?")
 
 
@@ -53,74 +62,14 @@
     """The folder's limit leaves no room for another message."""
 
 
-class Other(Book):
-    """Another process's file, read along while that process lives; what it leaves is ours."""
-
-    def __init__(self, path: Path, number: int) -> None:
-        super().__init__()
-        self.path, self.number = path, number
-        self.at = 0
-        self.dead = False
-        self.taken: set[str] = set()  # ids that were taken up from it: never twice
-        self.file = os.open(path, os.O_RDWR)
-        try:
-            self.look()
-        except OSError:
-            self.close()
-            raise
-
-    def look(self) -> None:
-        """Reads what has come, and sees whether its process has ended."""
-        if self.dead:
-            return
-        dead = lock(self.file, self.path)  # before the last read: then nothing comes after it
-        self._read()
-        if not os.path.samestat(os.fstat(self.file), os.stat(self.path)):
-            self._reopen()
-            dead = False
-        self.dead = dead
-        if dead:
-            self.goes_on(clock.boot_id(), clock.now_ms())
-
-    def _read(self) -> None:
-        reader = LineReader(self.file, self.at)  # what follows the last whole line is being written
-        try:
-            self._records(reader)
-        finally:
-            self.at = reader.at
-
-    def _reopen(self) -> None:
-        """Compacted: the new file says all that still counts."""
-        old, self.file, self.at = self.file, os.open(self.path, os.O_RDWR), 0
-        os.close(old)
-        for kept in (self.entries, self.sizes, self.unlisted):
-            kept.clear()
-        self.live = self.sequence = 0
-        self._read()
-
-    def withdrawn_since(self) -> list[str]:
-        since, self.withdrawn_ids = self.withdrawn_ids, []
-        return since
-
-    def left(self) -> list[Entry]:
-        """What its process has given away, or left behind, and nobody has taken up yet."""
-        return [e for e in self.entries.values() if e.id not in self.taken and (e.given or self.dead)]
-
-    def close(self, unlink: bool = False) -> None:
-        if unlink:
-            self.path.unlink(missing_ok=True)
-        os.close(self.file)
-
-
 class Journal(Book):
     """OSError from the constructor: the folder fails, and nothing of it has been changed."""
 
     def __init__(self, folder: Path, disk_bytes: int) -> None:
         super().__init__()
         self.folder = folder
-        self.budget = disk_bytes // BLOCK * BLOCK
-        self.others: dict[int, Other] = {}
-        self.room_seen = self.budget  # by the latest look: good enough for all but the write itself
+        self.budget = DiskBudget(disk_bytes)
+        self.others = OtherJournals()
         self.waiting: deque[dict[str, Any]] = deque()  # what memory knows and the file does not, oldest first
         self.closed = False
         self.failing = False  # the folder takes no records, and the log has said so
@@ -135,6 +84,7 @@
             self._change({"k": "role", "role": ""})  # the dead process's, not ours
         for other in self.others.values():
             self._merge(other)
+        self._find_bodies()
         self.flush()
 
     def _open(self) -> None:
@@ -175,16 +125,14 @@
     # -- the other process -------------------------------------------------------------------------------
 
     @property
-    def living(self) -> list[Other]:
-        return [other for other in self.others.values() if not other.dead]
+    def living(self) -> list[OtherJournal]:
+        return self.others.living
 
     def _look(self) -> None:
-        for number, path in self._numbers().items():
-            if number != self.number and number not in self.others:
-                self._meet(number, path)
-        for other in list(self.others.values()):
-            self._follow(other)
-        self.room_seen = self.room
+        numbers = self._numbers()
+        numbers.pop(self.number, None)
+        self.others.follow(numbers, self._met)
+        self.budget.room_bytes = self.room
 
     def look(self) -> None:
         """Reads along with the others, if there are any."""
@@ -193,41 +141,71 @@
         except OSError as error:  # no descriptor is left, say: what was read stands, and it is tried again
             log.error("journal: the folder cannot be read: %s", error)
 
-    def _follow(self, other: Other) -> None:
-        try:
-            other.look()
-        except FileNotFoundError:  # taken up and removed by yet another process
-            other.close()
-            del self.others[other.number]
-
-    def _meet(self, number: int, path: Path) -> None:
-        try:
-            self.others[number] = Other(path, number)
-        except FileNotFoundError:
-            return
-        if not self.others[number].dead and self.size > ROOMY:
+    def _met(self, other: OtherJournal) -> None:
+        if not other.dead and self.size > SMALLEST_COMPACTED_BYTES:
             self._compact()  # what the folder may hold is for both from now on
 
-    def _merge(self, other: Other) -> None:
+    def _merge(self, other: OtherJournal) -> None:
         """At the start: what two files of dead processes say of one message, and who has what was given."""
         for entry in list(other.entries.values()):
             mine = self.entries.get(entry.id)
             if mine is None:
                 continue
             if other.dead and progress(entry) > progress(mine):
-                self._change(snapshot(resumed(entry)))
-
-    def taken_up(self, other: Other, entry: Entry) -> Entry | None:
-        """Makes it ours, unless it is already; JournalError if there is no room yet. What has ended is only
-        remembered, in case that it comes again."""
-        known, mine = self.entries.get(entry.id), resumed(entry)
-        new = known is None or known.given
-        if known is None and mine.end and not mine.owes_notice:
-            self._put(mine)
-        elif new:  # also if it has ended and was given away: our own file says that it waits
-            self.take(mine)
+                self._change(state_of(resumed(entry)))
+
+    def _find_bodies(self) -> None:
+        """At the start: of messages whose bodies an earlier process left in a file of its own."""
+        for entry in [each for each in self.entries.values() if each.borrowed and not each.end]:
+            self._find_body(entry)
+            if entry.end:
+                self._change(snapshot(entry))
+
+    def _find_body(self, entry: Entry) -> None:
+        """One whose body is nowhere ends: nothing else may be sent in its place."""
+        body = self.others.body_of(entry.id)
+        if body is not None:
+            entry.body = body
+            return
+        log.error("journal: the body of message %s is lost", entry.id)
+        entry.end, entry.borrowed = "failed", False
+
+    def taken_up(self, other: OtherJournal, entry: Entry) -> Entry | None:
+        """Makes it ours, unless it is already, or another copy is the one to go by. It is held from now on,
+        also where the folder takes no record of it yet: the other file keeps it until then."""
+        known = self.entries.get(entry.id)
         other.taken.add(entry.id)
-        return mine if new else None
+        if known is not None and not known.given or self.others.know_more_than(other, entry):
+            return None
+        mine = resumed(entry)
+        if not mine.end:
+            self._choose_body(mine, known)
+        record = snapshot(mine)
+        self._make_room(len(encode(record)) + STAMP)
+        self._change(record)
+        self.flush()
+        self.entries[mine.id].body = mine.body
+        return self.entries[mine.id]
+
+    def _choose_body(self, entry: Entry, known: Entry | None) -> None:
+        """It is copied where there is room; else it stays in the file where it is until the message ends."""
+        if known is not None:  # was given away, and its body is where it was
+            entry.body, entry.borrowed = known.body, True
+        elif entry.borrowed:
+            self._find_body(entry)
+        else:
+            entry.borrowed = not self._fits(len(encode(snapshot(entry))) + STAMP)
+
+    def ends_taken_up(self, other: OtherJournal) -> list[Entry]:
+        """All that has ended there and is not known here, many to a record: an id may come again until its
+        message's time is over."""
+        ended = [entry for entry in other.left() if entry.is_settled and entry.id not in self.entries]
+        other.taken.update(entry.id for entry in ended)
+        for record in settled_records(ended):
+            self._make_room(len(encode(record)) + STAMP)
+            self._change(record)
+        self.flush()
+        return ended
 
     def taken_back(self) -> Iterator[Entry]:
         """What was given away, and the one that was to take it has ended without. What it had written down
@@ -239,7 +217,8 @@
             else [resumed(entry) for entry in self.entries.values() if entry.given and entry.id not in theirs]
         )
         for entry in back:  # one by one: whoever asks holds each before the next may fail
-            self.take(entry)
+            self._now(state_of(entry), SMALL, {"k": "give", "ids": [entry.id]})
+            self._put(entry)
             yield entry
 
     def find(self, ident: str) -> Entry | None:
@@ -248,8 +227,8 @@
         if mine is not None:
             return mine
         self.look()
-        theirs = (other.entries.get(ident) for other in self.others.values())
-        return next((entry for entry in theirs if entry is not None), None)
+        copies = self.others.copies_of(ident)
+        return max(copies, key=progress) if copies else None
 
     def knows(self, ident: str) -> bool:
         return self.find(ident) is not None
@@ -269,13 +248,27 @@
                 for some in in_parts([entry for entry in given if self._is_theirs(entry)])
             )
         )
-        for other in [other for other in self.others.values() if other.dead and not other.left()]:
-            other.close(unlink=True)
-            del self.others[other.number]
-        if self.living and self.size > max(ROOMY, 2 * self.live):
+        self._copy_bodies()
+        self._flushed()  # nobody else knows what the files below say, once they are gone
+        for other in [each for each in self.others.values() if each.dead and not each.left()]:
+            if not self.others.is_lending(other, self):
+                self.others.remove(other)
+        if self.living and self.size > max(SMALLEST_COMPACTED_BYTES, 2 * self.live):
             self._compact()  # what is handed over leaves room at once, for its taker
         return not self.others and not any(entry.given for entry in self.entries.values())
 
+    def _copy_bodies(self) -> None:
+        """Of messages whose bodies are in other files, as many as there is room for."""
+        for entry in [each for each in self.entries.values() if each.borrowed and not each.end]:
+            whole = snapshot(replace(entry, borrowed=False))
+            size = len(encode(whole)) + STAMP
+            if not self._fits(size):
+                return
+            self._make_room(size)
+            self._queue(whole)
+            entry.borrowed = False
+            self._put(entry)
+
     def _is_theirs(self, entry: Entry) -> bool:
         theirs = [other.entries.get(entry.id) for other in self.living]
         return any(each is not None and not each.given for each in theirs)
@@ -343,7 +336,8 @@
     def tidy(self, now_ms: float) -> None:
         for book in (self, *self.others.values()):
             book.forget_old(now_ms)
-        if self.size > max(ROOMY, 4 * self.live):
+        self.budget.retry_compaction()
+        if self.size > max(SMALLEST_COMPACTED_BYTES, 4 * self.live):
             self._compact()
 
     def close(self) -> None:
@@ -351,9 +345,7 @@
             log.error("journal: %d records are lost with this process", len(self.waiting))
         self.closed = True
         self.journal_file.close()
-        for other in self.others.values():
-            other.close()
-        self.others.clear()
+        self.others.close()
 
     # -- memory ------------------------------------------------------------------------------------------
 
@@ -427,35 +419,32 @@
         if legacy:
             self._compact()
 
-    def _blocks(self, size: int) -> int:
-        return -(-size // BLOCK) * BLOCK
-
     @property
     def room(self) -> int:
-        """What this process's files may hold: all that the others' leave, and a little that both may miss."""
-        if not self.others:
-            return self.budget
+        """Bytes that this process's files may take: all that the others' leave."""
+        return self.budget.room(self._others_bytes() if self.others else None)
+
+    def _others_bytes(self) -> int:
+        mine = self.path.name, self.journal_file.spare.name
         with os.scandir(self.folder) as found:
-            held = sum(
-                self._blocks(each.stat().st_size)
-                for each in found
-                if each.name not in (self.path.name, self.journal_file.spare.name)
-            )
-        return self.budget - held - 2 * SLACK
+            return sum(in_blocks(each.stat().st_size) for each in found if each.name not in mine)
 
     def _fits(self, more: int) -> bool:
-        """Room for a message, so that a compaction (old file and new together) stays possible."""
-        live = self.live + more + SMALL
-        return 2 * self._blocks(live) + 2 * SLACK <= self.room_seen
+        """Room for a message."""
+        return self.budget.accepts(self.live + more + SMALL)
 
     def _make_room(self, more: int) -> None:
-        if self._blocks(self.size + more) + self._blocks(self.live + more) > self.room_seen - SLACK:
+        if self.budget.asks_for_compaction(self._sizes, more):
             self._compact()
 
+    @property
+    def _sizes(self) -> FileSizes:
+        return FileSizes(self.size, self.live)
+
     def _write(self, line: bytes) -> None:
         if self.closed:
             raise OSError("the journal is closed")
-        if self._blocks(self.size + len(line)) > self.room:
+        if in_blocks(self.size + len(line)) > self.room:
             raise OSError("the folder's limit is reached")
         self.journal_file.append(line)
 
@@ -464,19 +453,24 @@
         lines = [encode(self._stamped(record)) for record in self._whole()]
         size = sum(map(len, lines))
         try:
-            if self._blocks(self.size) + self._blocks(size) > self.room:
+            excess = self.budget.compaction_excess(FileSizes(self.size, size), self.room, bool(self.others))
+            if excess:
                 log.error("journal: no room to compact %d bytes to %d", self.size, size)
+                self.budget.compaction_failed(self._sizes, excess)
                 return
             self.journal_file.replace(lines)
         except OSError as error:
             log.error("journal: cannot compact: %s", error)
+            self.budget.compaction_failed(self._sizes, None)
             return
+        self.budget.retry_compaction()
         # The new file says all that memory knows, but for what another process is still to read here.
         self.waiting = deque(self._stamped(record) for record in self.waiting if record["k"] == "drop")
 
     def _whole(self) -> Iterator[dict[str, Any]]:
         """All that counts, as records."""
-        yield from map(snapshot, self.entries.values())
+        yield from map(snapshot, (entry for entry in self.entries.values() if not entry.is_settled))
+        yield from settled_records(entry for entry in self.entries.values() if entry.is_settled)
         if self.others:
             for (dest, endpoint), told in self.lanes.items():
                 yield {"k": "lane", "dest": dest, "ep": endpoint, "told": told}
--- a/linnetstile/net/records.py
+++ b/linnetstile/net/records.py
@@ -10,7 +10,7 @@
 import base64
 import json
 import zlib
-from collections.abc import Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
@@ -47,6 +47,7 @@
     after_ms: float = 0.0
     told: bool = False  # the platform has its notice
     given: bool = False  # to the relay's other process: nothing is written of it here any more
+    borrowed: bool = False  # its body is in another file of the folder alone
 
     @property
     def may_have_run(self) -> bool:
@@ -62,6 +63,11 @@
     def owes_notice(self) -> bool:
         return self.ends_by_notice and not self.told
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether nothing is left to do for it: it is kept in case that its id comes again."""
+        return self.end not in ("", WITHDRAWN) and not self.owes_notice and not self.given
+
 
 def encode(record: dict[str, Any]) -> bytes:
     text = json.dumps(record, separators=(",", ":")).encode()
@@ -84,6 +90,29 @@
     return replace(entry, risk=entry.risk or entry.out, out=None, given=False)
 
 
+def settled(ident: str, end: str, due: float, after_ms: float) -> Entry:
+    """What is kept of a message that has ended and, where it has to, been told."""
+    entry = Entry(ident, "", "", 0, None, due, due, "", b"", end=end, after_ms=after_ms)
+    entry.told = entry.ends_by_notice
+    return entry
+
+
+def settled_records(entries: Iterable[Entry]) -> Iterator[dict[str, Any]]:
+    """The ends of such messages, many to a record; the inverse of `settled`."""
+    by_end: dict[str, list[Entry]] = {}
+    for entry in entries:
+        by_end.setdefault(entry.end, []).append(entry)
+    for end, of_one_end in by_end.items():
+        for some in in_parts(of_one_end):
+            ends = [[entry.id, round(entry.due), entry.after_ms] for entry in some]
+            yield {"k": "ends", "state": end, "of": ends}
+
+
+def state_of(entry: Entry) -> dict[str, Any]:
+    """A snapshot without the body, of a message whose body is in the folder already."""
+    return snapshot(replace(entry, borrowed=True))
+
+
 def in_parts(items: Sequence[T]) -> list[Sequence[T]]:
     """So many as one record may name."""
     return [items[first : first + PART] for first in range(0, len(items), PART)]
@@ -117,6 +146,7 @@
         float(record["after"]),
         bool(record["told"]),
         bool(record.get("given")),
+        bool(record.get("borrowed")),
     )
 
 
@@ -143,5 +173,6 @@
         "after": entry.after_ms,
         "told": entry.told,
         "given": entry.given,
-        "body": "" if entry.end else base64.b64encode(entry.body).decode(),
+        "borrowed": entry.borrowed,
+        "body": "" if entry.end or entry.borrowed else base64.b64encode(entry.body).decode(),
     }
--- a/linnetstile/net/replacement.py
+++ b/linnetstile/net/replacement.py
@@ -12,7 +12,8 @@
 from .. import interface as api
 from ..control import Relay
 from .discovery import Directory
-from .journal import Entry, Journal, JournalError, Other
+from .journal import Entry, Journal, JournalError
+from .other_journal import OtherJournal
 
 log = logging.getLogger(__name__)
 
@@ -51,7 +52,12 @@
 
     @property
     def look_s(self) -> float:
-        return LOOK_S if self.journal.others else ALONE_S
+        return LOOK_S if self.pair or not self.settled else ALONE_S
+
+    @property
+    def first(self) -> bool:
+        """Whether no earlier process lives: of two, one takes up what the dead have left."""
+        return all(other.number > self.journal.number for other in self.journal.living)
 
     def follow(self) -> None:
         """Reads along, settles who makes the calls, and takes up what is ours now."""
@@ -72,8 +78,12 @@
         except JournalError as error:
             log.error("what the other process left has to wait: %s", error)
 
-    def _take_up(self, other: Other) -> None:
+    def _take_up(self, other: OtherJournal) -> None:
         """Some at a time: clients and calls go on meanwhile."""
+        if other.dead and not self.first:
+            return
+        for entry in self.journal.ends_taken_up(other):
+            self.take_up(entry)
         for entry in other.left()[:TAKES]:
             mine = self.journal.taken_up(other, entry)
             if mine is not None:
--- /dev/null
+++ b/tests/test_full_folder.py
@@ -0,0 +1,254 @@
+"""A full state folder: nothing that is owed or remembered is lost, and no work on it holds up the loop."""
+
+from __future__ import annotations
+
+import errno
+import os
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from linnetstile.disk_budget import BLOCK_BYTES
+from linnetstile.net import clock
+from linnetstile.net.journal import Attempt, Entry, Journal, JournalError, JournalFull, encode, snapshot
+
+DISK = 3_000_000
+BODY = bytes(60_000)
+DEADLINE_MS = 16_000.0
+SWEEP_MS = 1000.0
+
+
+@pytest.fixture
+def now(monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """The clock's milliseconds, which the test moves on."""
+    given = [1_000_000.0]
+    monkeypatch.setattr("linnetstile.net.clock.now_ms", lambda: given[0])
+    return given
+
+
+def entry(ident: str, now: list[float], body: bytes = BODY, class_: str = "once") -> Entry:
+    return Entry(ident, class_, "t", 7, None, now[0], now[0] + DEADLINE_MS, "", body)
+
+
+def fill(journal: Journal, now: list[float], name: str = "m") -> list[str]:
+    """Messages until one is refused."""
+    idents = list[str]()
+    while True:
+        ident = f"{name}{len(idents)}"
+        try:
+            journal.take(entry(ident, now))
+        except JournalFull:
+            return idents
+        idents.append(ident)
+
+
+def kill(journal: Journal) -> None:
+    """As the kernel leaves its files."""
+    journal.journal_file.close()
+    for other in journal.others.values():
+        os.close(other.file)
+
+
+def take_up_all(journal: Journal) -> dict[str, Entry]:
+    """What a process that starts or goes on holds from now on, as `Host` and `Replacement` ask for it."""
+    for _ in range(2):  # the first may find that a file was compacted
+        journal.look()
+    mine = {each.id: each for each in journal.entries.values() if not each.given and not each.end}
+    for other in list(journal.others.values()):
+        ends = journal.ends_taken_up(other)
+        taken = [journal.taken_up(other, each) for each in other.left()]
+        mine.update({each.id: each for each in [*ends, *taken] if each is not None and not each.end})
+    mine.update({each.id: each for each in journal.taken_back()})
+    journal.settle()
+    return mine
+
+
+def used(folder: Path) -> int:
+    return sum(-(-path.stat().st_size // BLOCK_BYTES) * BLOCK_BYTES for path in folder.iterdir())
+
+
+def end(journal: Journal, ident: str, now: list[float]) -> None:
+    journal.tried(journal.entries[ident], now[0], "s-1", 0)
+    journal.ended(journal.entries[ident], "delivered")
+
+
+# -- what has ended ----------------------------------------------------------------------------------------
+
+
+def test_ends_that_a_dead_process_left_are_on_file_before_its_file_is_removed(
+    tmp_path: Path, now: list[float]
+) -> None:
+    """Guards against a second run of what comes again after a replacement and a kill."""
+    old = Journal(tmp_path, DISK)
+    for number in range(250):
+        old.take(entry(f"m{number}", now, b"x"))
+        end(old, f"m{number}", now)
+    new = Journal(tmp_path, DISK)
+    kill(old)
+    take_up_all(new)
+    assert [path.name for path in tmp_path.iterdir()] == ["journal-1"]
+    kill(new)
+    after = Journal(tmp_path, DISK)
+    assert all(after.entries[f"m{number}"].end == "delivered" for number in range(250))
+
+
+def test_an_id_that_needs_escapes_takes_what_is_reckoned_for_it(tmp_path: Path, now: list[float]) -> None:
+    journal = Journal(tmp_path, DISK)
+    for number in range(100):
+        ident = f"{number}{chr(34) * 190}"
+        journal.take(entry(ident, now, b"x"))
+        end(journal, ident, now)
+    journal._compact()
+    assert journal.size <= journal.live
+
+
+# -- what is owed ------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("killed", [False, True])
+def test_a_replacement_on_a_full_folder_holds_every_message(
+    tmp_path: Path, now: list[float], killed: bool
+) -> None:
+    """Guards against messages that nobody holds after a replacement: their ends came five seconds late."""
+    old = Journal(tmp_path, DISK)
+    idents = fill(old, now)
+    assert len(idents) >= 18
+    new = Journal(tmp_path, DISK)
+    old.look()
+    if not killed:
+        old.give(list(old.entries.values()))
+    else:
+        kill(old)
+    held = take_up_all(new)
+    assert set(held) == set(idents) and all(each.body == BODY for each in held.values())
+    if not killed:
+        old.look()
+        old.settle()
+        old.close()
+    for number, ident in enumerate(idents):
+        assert used(tmp_path) <= DISK
+        if number % 5 == 2:  # and so does each process after further kills
+            kill(new)
+            new = Journal(tmp_path, DISK)
+            held = take_up_all(new)
+            assert set(held) == set(idents[number:]) and all(each.body == BODY for each in held.values())
+        end(new, ident, now)
+        new.look()
+        new.settle()
+    assert [path.name for path in tmp_path.iterdir()] == ["journal-1"]
+
+
+def test_three_processes_hold_each_message_once_whichever_file_has_its_body(
+    tmp_path: Path, now: list[float]
+) -> None:
+    first = Journal(tmp_path, DISK)
+    idents = fill(first, now)
+    second = Journal(tmp_path, DISK)
+    first.look()
+    first.give(list(first.entries.values()))
+    assert set(take_up_all(second)) == set(idents)
+    first.close()
+    second.look()
+    third = Journal(tmp_path, DISK)
+    assert not take_up_all(third)  # the second process lives and holds them
+    second.look()
+    second.give([second.entries[ident] for ident in idents])
+    held = take_up_all(third)
+    assert set(held) == set(idents) and all(each.body == BODY for each in held.values())
+    second.look()
+    second.settle()
+    kill(second)
+    for ident in idents:
+        end(third, ident, now)
+    take_up_all(third)
+    assert [path.name for path in tmp_path.iterdir()] == ["journal-2"]
+
+
+def test_the_old_process_goes_on_with_what_its_dead_taker_had_not_copied(
+    tmp_path: Path, now: list[float]
+) -> None:
+    old = Journal(tmp_path, DISK)
+    idents = fill(old, now)
+    new = Journal(tmp_path, DISK)
+    old.look()
+    old.give(list(old.entries.values()))
+    take_up_all(new)
+    new.tried(new.entries[idents[-1]], now[0], "s-1", 0)
+    kill(new)
+    held = take_up_all(old)
+    assert set(held) == set(idents) and all(each.body == BODY for each in held.values())
+    assert held[idents[-1]].risk == Attempt(round(now[0]), "s-1", 0)
+    old._compact()
+    kill(old)
+    again = take_up_all(Journal(tmp_path, DISK))
+    assert set(again) == set(idents) and all(each.body == BODY for each in again.values())
+
+
+def test_what_is_taken_up_is_held_though_the_folder_takes_no_record(
+    tmp_path: Path, now: list[float], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against messages that nobody holds while the folder fails; their file stays until it heals."""
+    old, new = Journal(tmp_path, DISK), Journal(tmp_path, DISK)
+    old.take(entry("a", now))
+    kill(old)
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", refuse)
+        new.look()
+        (other,) = new.others.values()
+        held = new.taken_up(other, other.left()[0])
+        assert held is not None and held.body == BODY
+        with pytest.raises(JournalError, match="takes no records"):
+            new.settle()
+        assert new.others and (tmp_path / "journal").exists()
+    assert new.settle() and not (tmp_path / "journal").exists()
+    kill(new)
+    assert Journal(tmp_path, DISK).entries["a"].body == BODY
+
+
+def test_a_message_whose_body_is_lost_ends_and_is_never_sent_without_it(
+    tmp_path: Path, now: list[float]
+) -> None:
+    old = Journal(tmp_path, DISK)
+    fill(old, now)
+    new = Journal(tmp_path, DISK)
+    kill(old)
+    take_up_all(new)
+    lost = {each.id for each in new.entries.values() if each.borrowed}
+    kill(new)
+    (tmp_path / "journal").unlink()
+    after = Journal(tmp_path, DISK)
+    assert lost and {each.id for each in after.entries.values() if each.owes_notice} == lost
+
+
+def refuse(*_: Any) -> int:
+    raise OSError(errno.ENOSPC, "no space")
+
+
+# -- the work for a record ---------------------------------------------------------------------------------
+
+
+def write_file(path: Path, size: int, now: list[float]) -> None:
+    """What a process left that never compacted it: 140 messages a second, each delivered at once."""
+    lines, written = list[bytes](), 0
+    while written < size:
+        now[0] += 1000 / 140
+        ident = f"old-{len(lines):012x}"
+        tried = {"k": "try", "id": ident, "at": round(now[0]), "ep": "s-5be2a07c", "zone": 1}
+        ended = {"k": "end", "id": ident, "state": "delivered", "after": 0.0}
+        for record in (snapshot(entry(ident, now, b"xx")), tried, ended):
+            stamp = {"n": len(lines) + 1, "t": int(now[0]), "b": clock.boot_id()}
+            lines.append(encode({**record, **stamp}))
+            written += len(lines[-1])
+    path.write_bytes(b"".join(lines))
+
+
+def deliver_one(journal: Journal, now: list[float], number: int, sweep_at: float) -> float:
+    """One of 140 messages a second; when the next sweep is due."""
+    now[0] += 1000 / 140
+    if now[0] >= sweep_at:
+        journal.tidy(now[0])
+        sweep_at = now[0] + SWEEP_MS
+    journal.take(entry(f"{number:016x}", now, b"xx"))
+    end(journal, f"{number:016x}", now)
+    return sweep_at
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -11,7 +11,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from linnetstile.net.journal import BLOCK, Attempt, Entry, Journal, JournalError, JournalFull
+from linnetstile.disk_budget import BLOCK_BYTES as BLOCK
+from linnetstile.net.journal import Attempt, Entry, Journal, JournalError, JournalFull
 
 DISK = 400_000
 
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -17,6 +17,7 @@
 
 from linnetstile import interface as api
 from linnetstile.connection_reuse import Peer, Position
+from linnetstile.disk_budget import DiskBudget
 from linnetstile.net.figures import Refusal
 from linnetstile.net.invariants import Rule
 from linnetstile.net import ingress, management
@@ -228,10 +229,10 @@
             assert await client.ask(message("m", left=1)) == 202  # too late for any try: handed back
             assert await agent.notices.get() == {"id": "m", "state": "returned"}
             assert (await figures(host))["shed.safe"] == 1
-            host.journal.budget = 0  # the folder is full
+            host.journal.budget = DiskBudget(0)  # the folder is full
             assert await client.ask(message("n", "keyed")) == 503
             assert (await figures(host))["shed.keyed"] == 1
-            host.journal.budget = 3_000_000
+            host.journal.budget = DiskBudget(3_000_000)
             host.settings = replace(host.settings, hold=1)
             assert await client.ask(message("p", "keyed")) == 202
             await server.came.get()
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -17,13 +17,15 @@
 
 from linnetstile import interface as api
 from linnetstile.control import Relay
+from linnetstile.disk_budget import BLOCK_BYTES as BLOCK
+from linnetstile.disk_budget import RESERVE_BYTES as SLACK
 from linnetstile.net import journal as journal_module
 from linnetstile.net.discovery import Directory
 from linnetstile.net.host import Host
 from linnetstile.net.client_request import Request
 from linnetstile.net.client_connection import ClientConnection
 from linnetstile.net.ingress import ACCEPTS
-from linnetstile.net.journal import BLOCK, SLACK, Attempt, Entry, Journal, JournalError
+from linnetstile.net.journal import Attempt, Entry, Journal, JournalError
 from linnetstile.net.replacement import TAKES, Replacement
 
 from .conftest import SAFE, Driver, make_settings
