--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -51,6 +51,7 @@
 log = logging.getLogger(__name__)
 
 STAMP = 48  # bytes that `n`, `t` and `b` add to a record
+FORGET_FOR_ROOM_MS = 50.0  # after the first of them has become over
 NAME = re.compile(r"journal(?:-(\d{1,9}))?")
 
 
@@ -303,7 +304,7 @@
         """Must come before the client's answer."""
         size = len(encode(snapshot(entry))) + STAMP
         if not self._fits(size):
-            self._drop_ended()
+            self._forget_for_room()
             if not self._fits(size):
                 raise JournalFull("no room for another message")
         self._now(snapshot(entry), size, {"k": "void", "id": entry.id})
@@ -330,7 +331,7 @@
 
     def withdrawn(self, ident: str) -> None:
         """Said also of one that was given away: its taker reads it here."""
-        self._record({"k": "drop", "id": ident})
+        self._record({"k": "drop", "id": ident, "elsewhere": self.others.owe(ident)})
         self.withdrawn_ids.clear()  # whoever says so knows
 
     def tidy(self, now_ms: float) -> None:
@@ -401,9 +402,15 @@
         self.boot, self.latest_ms = clock.boot_id(), float(int(clock.now_ms()))
         return {**record, "n": self.sequence, "t": int(self.latest_ms), "b": self.boot}
 
-    def _drop_ended(self) -> None:
-        for entry in [e for e in self.entries.values() if e.end and not e.owes_notice]:
-            self._forget(entry.id)
+    def _forget_for_room(self) -> None:
+        """Not for each message that is over: all are looked at."""
+        now = clock.now_ms()
+        if now > self.first_over_ms + FORGET_FOR_ROOM_MS:
+            self.forget_old(now)
+
+    def _may_forget(self, entry: Entry) -> bool:
+        """Not while another file says that it is owed: a later process would believe that."""
+        return super()._may_forget(entry) and not self.others.owe(entry.id)
 
     # -- the file ----------------------------------------------------------------------------------------
 
--- a/tests/test_full_folder.py
+++ b/tests/test_full_folder.py
@@ -76,6 +76,73 @@
 # -- what has ended ----------------------------------------------------------------------------------------
 
 
+def test_a_refusal_for_room_forgets_no_message_whose_time_is_not_over(
+    tmp_path: Path, now: list[float]
+) -> None:
+    """Guards against a second run of a message that comes again while the folder is full."""
+    journal = Journal(tmp_path, DISK)
+    journal.take(entry("a", now, b"x"))
+    end(journal, "a", now)
+    fill(journal, now)
+    assert journal.knows("a") and journal.entries["a"].end == "delivered"
+    kill(journal)
+    assert Journal(tmp_path, DISK).entries["a"].end == "delivered"
+
+
+def test_what_a_second_process_delivered_stays_delivered_though_a_dead_file_says_it_is_owed(
+    tmp_path: Path, now: list[float]
+) -> None:
+    """Guards against a second run after a replacement on a full folder and a kill."""
+    old = Journal(tmp_path, DISK)
+    idents = fill(old, now)
+    new = Journal(tmp_path, DISK)
+    old.look()
+    old.give(list(old.entries.values()))
+    take_up_all(new)
+    old.close()
+    for ident in idents[:3]:
+        end(new, ident, now)
+    fill(new, now, "later")
+    new._compact()
+    kill(new)
+    after = take_up_all(Journal(tmp_path, DISK))
+    assert set(idents) - set(after) == set(idents[:3])
+
+
+def test_an_end_is_kept_past_its_time_while_a_dead_file_says_it_is_owed(
+    tmp_path: Path, now: list[float]
+) -> None:
+    old = Journal(tmp_path, DISK)
+    idents = fill(old, now)
+    new = Journal(tmp_path, DISK)
+    old.look()
+    old.give(list(old.entries.values()))
+    take_up_all(new)
+    kill(old)
+    end(new, idents[0], now)
+    now[0] += 2 * DEADLINE_MS  # the others are late: their file is still there
+    new.tidy(now[0])
+    new._compact()
+    kill(new)
+    assert idents[0] not in take_up_all(Journal(tmp_path, DISK))
+
+
+def test_what_was_withdrawn_stays_so_though_a_dead_file_says_it_is_owed(
+    tmp_path: Path, now: list[float]
+) -> None:
+    """Guards against a second message for one that its client has taken back and handed in anew."""
+    old = Journal(tmp_path, DISK)
+    idents = fill(old, now)
+    kill(old)
+    (tmp_path / "journal-1").touch()
+    new = Journal(tmp_path, DISK)
+    assert set(take_up_all(new)) == set(idents)
+    new.withdrawn(idents[-1])
+    new._compact()
+    kill(new)
+    assert set(take_up_all(Journal(tmp_path, DISK))) == set(idents[:-1])
+
+
 def test_ends_that_a_dead_process_left_are_on_file_before_its_file_is_removed(
     tmp_path: Path, now: list[float]
 ) -> None:
@@ -93,6 +160,17 @@
     assert all(after.entries[f"m{number}"].end == "delivered" for number in range(250))
 
 
+def test_the_folder_holds_ten_thousand_ends_beside_what_is_owed(tmp_path: Path, now: list[float]) -> None:
+    """600 messages a second, each remembered for 16 s: none is refused for what has ended."""
+    journal = Journal(tmp_path, DISK)
+    for number in range(9600):
+        journal.take(entry(f"{number:016x}", now, b"xx"))
+        end(journal, f"{number:016x}", now)
+        assert journal.size <= DISK
+    kill(journal)
+    assert len(Journal(tmp_path, DISK).entries) == 9600
+
+
 def test_an_id_that_needs_escapes_takes_what_is_reckoned_for_it(tmp_path: Path, now: list[float]) -> None:
     journal = Journal(tmp_path, DISK)
     for number in range(100):
