Free an attempt's slot before its outcome is written, and keep what is out

Change: the module is told first, each message by itself; a record of an unknown message is logged, counted and passed over; a message that was taken back is kept while its call is out.

--- a/linnetstile/net/book.py
+++ b/linnetstile/net/book.py
@@ -186,8 +186,8 @@
         self.first_over_ms = min(ended, default=math.inf)
 
     def _may_forget(self, entry: Entry) -> bool:
-        """Whether one whose time is up needs no record any more."""
-        return bool(entry.end) and not entry.owes_notice
+        """Whether one whose time is up needs no record any more: not while its call is out."""
+        return bool(entry.end) and not entry.owes_notice and entry.out is None
 
 
 def _line_bytes(entry: Entry) -> int:
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -316,6 +316,7 @@
                 gauges["journal_bytes"] = self.journal.size
                 gauges["journal_live_bytes"] = self.journal.live
                 gauges["failed_compactions"] = self.journal.budget.failed_compactions
+                gauges["unknown_records"] = self.journal.unknown_records
                 gauges["pool_size"] = len(self.directory.by_number)
                 gauges["accepted_bytes"] = self.held_body_bytes
                 gauges["receiving_bytes"] = self.ingress.partial.total_bytes
@@ -817,8 +818,9 @@
                 Answer(api.Outcome.RESET if held.entry.out else api.Outcome.CONNECT_FAILED)
                 for _, held in group
             ]
+        took = self.now() - begun
         for (number, held), attempt, answer in zip(group, attempts, answers, strict=True):
-            self._ended(number, held, attempt, endpoint, answer, self.now() - begun)
+            self._guarded(partial(self._ended, number, held, attempt, endpoint, answer), took)
 
     def _note_outcome_of_withdrawn(self, entry: Entry, answer: Answer) -> None:
         """Nobody is told of it, but its id may come again."""
@@ -881,16 +883,6 @@
             told,
             answer.on,
         )
-        if self.journal.entries.get(entry.id) is entry and not entry.end:  # the watchdog may have ended it
-            if answer.over:
-                self._let_go(number)
-                self._end(
-                    entry, "delivered" if answer.outcome is api.Outcome.OK else "over", 0.0, held.history
-                )
-            elif entry.out is not None:
-                self._journal(lambda: self.journal.outcome(entry, not answer.outcome.proves_no_effect))
-        elif entry.end == WITHDRAWN and entry.out is not None:
-            self._note_outcome_of_withdrawn(entry, answer)
         self._feed(
             api.AttemptEnded(
                 number,
@@ -906,3 +898,17 @@
                 answer.local,
             )
         )
+        self._note_outcome(number, held, answer)
+
+    def _note_outcome(self, number: int, held: Held, answer: Answer) -> None:
+        entry = held.entry
+        if self.journal.entries.get(entry.id) is entry and not entry.end:  # the watchdog may have ended it
+            if answer.over:
+                self._let_go(number)
+                self._end(
+                    entry, "delivered" if answer.outcome is api.Outcome.OK else "over", 0.0, held.history
+                )
+            elif entry.out is not None:
+                self._journal(lambda: self.journal.outcome(entry, not answer.outcome.proves_no_effect))
+        elif entry.end == WITHDRAWN and entry.out is not None:
+            self._note_outcome_of_withdrawn(entry, answer)
--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -72,6 +72,7 @@
         self.budget = DiskBudget(disk_bytes)
         self.others = OtherJournals()
         self.waiting: deque[dict[str, Any]] = deque()  # what memory knows and the file does not, oldest first
+        self.unknown_records = 0  # of messages that are not known: a fault of this program
         self.closed = False
         self.failing = False  # the folder takes no records, and the log has said so
         self._open()
@@ -360,8 +361,15 @@
             self._flushed()
 
     def _change(self, record: dict[str, Any]) -> None:
-        self._apply(record)
-        self._queue(record)
+        """One that is of no message here is passed over: it must not keep others from being written, nor
+        whoever tells it from what is to be done besides."""
+        try:
+            self._apply(record)
+        except KeyError as error:
+            self.unknown_records += 1
+            log.error("journal: %r of message %s, which is not known", record["k"], error)
+        else:
+            self._queue(record)
 
     def _flushed(self) -> None:
         if not self.flush():
--- a/tests/test_full_folder.py
+++ b/tests/test_full_folder.py
@@ -371,3 +371,30 @@
     assert budget.compaction_may_succeed(FileSizes(2_000_000, 1_000_000))
     budget.room_bytes -= 50_000  # another process has taken it
     assert not budget.compaction_may_succeed(FileSizes(2_000_000, 1_000_000))
+
+
+def test_a_record_of_a_message_that_is_not_known_keeps_no_other_from_being_written(
+    tmp_path: Path, now: list[float]
+) -> None:
+    """Guards against a slot that is lost for good: an outcome met a forgotten message, and raised."""
+    journal = Journal(tmp_path, DISK)
+    journal.take(entry("a", now, b"x"))
+    journal.outcome(entry("unknown", now), False)
+    journal.give([entry("unknown", now), journal.entries["a"]])
+    assert journal.unknown_records == 1 and journal.entries["a"].given
+    kill(journal)
+    assert Journal(tmp_path, DISK).entries["a"].given
+
+
+def test_a_withdrawn_message_is_known_until_its_call_has_ended(tmp_path: Path, now: list[float]) -> None:
+    journal = Journal(tmp_path, DISK)
+    journal.take(entry("a", now, b"x"))
+    journal.tried(journal.entries["a"], now[0], "s-1", 0)
+    journal.withdrawn("a")
+    now[0] += DEADLINE_MS + SWEEP_MS
+    journal.tidy(now[0])
+    fill(journal, now)
+    assert journal.knows("a")
+    journal.outcome(journal.entries["a"], True)
+    journal.tidy(now[0])
+    assert not journal.knows("a")
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -194,6 +194,7 @@
                 "receiving_bytes": 0,
                 "journal_live_bytes": 0,
                 "failed_compactions": 0,
+                "unknown_records": 0,
                 **{f"refused.{why}": 0 for why in Refusal},
                 **{f"unsolicited.{peer}.{position}": 0 for peer in Peer for position in Position},
                 **{f"breaches.{rule}": 0 for rule in Rule},
