--- a/linnetstile/soak/client.py
+++ b/linnetstile/soak/client.py
@@ -15,7 +15,7 @@
 PATIENCE_S = 0.4  # for the answer that takes a message on (PROTOCOL, "Clients to relays")
 MOST_AGAIN = 2  # further handings-in of one message
 PAUSE_S = 0.05, 0.5  # before each
-BODY_BYTES = 1, 400
+BODY_BYTES, LARGE_BODY_BYTES = (1, 400), (1, 64 * 1024)
 LEFT_MS = [800, 2000, 4000, 6000]
 ACCEPTED = (200, 202)
 
@@ -66,6 +66,7 @@
     idle: list[Connection] = field(default_factory=list)
     number: int = 0
     path_s: float = 0.0  # one way, between them and the relay
+    large_share: float = 0.0  # of the bodies: such fill the relay's folder
 
     async def run(self, until: float, per_s: float) -> None:
         async with asyncio.TaskGroup() as tasks:
@@ -142,6 +143,8 @@
 
     def _request(self, hand_in: HandIn, name: str, left_ms: int, again: Again) -> bytes:
         body = self.rng.randbytes(self.rng.randrange(*BODY_BYTES))
+        if self.large_share and self.rng.random() < self.large_share:
+            body = self.rng.randbytes(self.rng.randrange(*LARGE_BODY_BYTES))
         headers = [
             "Host: origin.svc",
             f"X-Trace-Id: {hand_in.ident}",
--- a/linnetstile/soak/run.py
+++ b/linnetstile/soak/run.py
@@ -18,7 +18,7 @@
 from .relay import RelayProcess
 from .stand_in import StandIn
 from .trouble import Troubles
-from .world import CLASSES, UNSAFE, WINDOW_MS, Paths, World, drawn
+from .world import CLASSES, UNSAFE, WINDOW_MS, Paths, World, drawn, large_share
 
 OWN_LOOK_S = 0.02
 QUIET_S = 1.0  # from when all relays are ready until troubles begin
@@ -151,6 +151,7 @@
                 random.Random(rng.random()),
                 relay.was_killed,
                 path_s=self.paths.one_way_s(),
+                large_share=large_share(self.plan.seed),
             )
             for relay in self.relays
         ]
@@ -170,6 +171,7 @@
             another,
             self.place,
             self.log,
+            folder_fills=large_share(self.plan.seed) > 0.0,
         )
         async with asyncio.TaskGroup() as tasks:
             for each in clients:
--- a/linnetstile/soak/trouble.py
+++ b/linnetstile/soak/trouble.py
@@ -19,7 +19,7 @@
 from .relay import RelayProcess
 
 PAUSE_S = 0.3, 2.0  # between the beginnings of two troubles
-REFUSED_S = 3.0, 10.0
+REFUSED_S, LONG_REFUSED_S = (3.0, 10.0), (8.9, 21.0)
 CUT_S = 1.0, 6.0
 MOOD_S = 1.0, 5.0
 FOLDER_S = 0.1, 1.0
@@ -72,6 +72,7 @@
     place: Callable[[Platform], None]  # at the end of a path
     log: logging.Logger
     folder_fails: bool = True
+    folder_fills: bool = False  # large bodies wait for destinations that are out for long
 
     async def run(self, until: float) -> None:
         kinds = [
@@ -103,6 +104,8 @@
         ]
         if self.folder_fails:
             kinds += [self.failing_folder, self.start_on_a_failing_folder, self.kill_on_a_failing_folder]
+        if self.folder_fills:
+            kinds += [self.refused_destination, self.refused_destination, self.kills]
         async with asyncio.TaskGroup() as tasks:
             while time.monotonic() < until:
                 await asyncio.sleep(self.rng.uniform(*PAUSE_S))
@@ -263,7 +266,7 @@
         hit = self._of_one_destination()
         for endpoint in hit:
             endpoint.refuse()
-        await asyncio.sleep(self.rng.uniform(*REFUSED_S))
+        await asyncio.sleep(self.rng.uniform(*(LONG_REFUSED_S if self.folder_fills else REFUSED_S)))
         for endpoint in hit:
             if endpoint.server is None and endpoint in self.endpoints:
                 await endpoint.listen()
--- a/linnetstile/soak/world.py
+++ b/linnetstile/soak/world.py
@@ -12,6 +12,7 @@
 BULK = 10  # messages in one call to an endpoint of that kind
 RELAYS, DESTINATIONS, ENDPOINTS = (3, 6), (2, 12), (1, 3)
 LONGEST_PATH_S = 0.11  # one way
+LARGE_SHARES = [0.0, 0.2, 0.6]
 EXTRAS_SHARES = [0.0, 0.3, 0.5, 0.5]  # of good answers that bring extra bytes
 
 
@@ -65,6 +66,11 @@
         }
 
 
+def large_share(seed: int) -> float:
+    """Of the bodies of one soak: in some of them the relays' folders are full for much of the time."""
+    return random.Random(f"bodies of {seed}").choice(LARGE_SHARES)
+
+
 @dataclass(frozen=True, slots=True)
 class Paths:
     """How far apart the parties are, and how often good answers bring extra bytes; apart from the rest of the
