Keep a body on file until its taker has a copy of its own

What callers would see: a kill of both processes behind a hand-over on a full folder, and messages whose bodies only the new process's memory had end as failed. Found on rereading, before any run showed it from outside.

Cause: the giver forgot, and compacted away, what its taker had written down, also where that record was without the body.

Change: it forgets a message once the taker has copied the body or ended it. The test fails without it (a body was missing after the kills), and passes.

--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -272,8 +272,10 @@
             self._put(entry)
 
     def _is_theirs(self, entry: Entry) -> bool:
+        """Whether its taker has written it down, and needs its body here no more."""
         theirs = [other.entries.get(entry.id) for other in self.living]
-        return any(each is not None and not each.given for each in theirs)
+        taken = [each for each in theirs if each is not None and not each.given]
+        return any(each.end or not each.borrowed for each in taken)
 
     def give(self, entries: list[Entry]) -> None:
         self._record(*({"k": "give", "ids": [entry.id for entry in some]} for some in in_parts(entries)))
--- a/tests/test_full_folder.py
+++ b/tests/test_full_folder.py
@@ -239,10 +239,28 @@
     kill(second)
     for ident in idents:
         end(third, ident, now)
-    take_up_all(third)
+    for _ in range(2):  # the second process's file had borrowed from the first one's
+        take_up_all(third)
     assert [path.name for path in tmp_path.iterdir()] == ["journal-2"]
 
 
+def test_a_body_is_on_file_at_each_step_of_a_hand_over(tmp_path: Path, now: list[float]) -> None:
+    """Guards against a kill of both behind the old process's compaction: its taker had only borrowed."""
+    old = Journal(tmp_path, DISK)
+    idents = fill(old, now)
+    new = Journal(tmp_path, DISK)
+    old.look()
+    old.give(list(old.entries.values()))
+    take_up_all(new)
+    old.look()
+    old.settle()
+    old.tidy(now[0])
+    kill(old)
+    kill(new)
+    held = take_up_all(Journal(tmp_path, DISK))
+    assert set(held) == set(idents) and all(each.body == BODY for each in held.values())
+
+
 def test_the_old_process_goes_on_with_what_its_dead_taker_had_not_copied(
     tmp_path: Path, now: list[float]
 ) -> None:
