Let each living process see that a file is a dead one's, and agree on its copies

What callers would see: on a full folder, with a dead process's file still there and the next replacement: messages that nobody holds, or calls that nobody makes for up to 16 s.

Cause: whoever read a dead file along locked it for itself, so that a third process took its owner for alive, with the role and the messages of its last record. And a copy that was passed over once was never looked at again.

Change: readers share the lock, which a process that starts cannot have meanwhile, as before. Copies of one message have an order: what a living process holds, else what got further, else what a living one offers; it is asked anew at each look.

--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -173,11 +173,11 @@
         entry.end, entry.borrowed = "failed", False
 
     def taken_up(self, other: OtherJournal, entry: Entry) -> Entry | None:
-        """Makes it ours, unless it is already, or another copy is the one to go by. It is held from now on,
-        also where the folder takes no record of it yet: the other file keeps it until then."""
+        """Makes it ours, unless it is already. It is held from now on, also where the folder takes no record
+        of it yet: the other file keeps it until then."""
         known = self.entries.get(entry.id)
         other.taken.add(entry.id)
-        if known is not None and not known.given or self.others.know_more_than(other, entry):
+        if known is not None and not known.given:
             return None
         mine = resumed(entry)
         if not mine.end:
--- a/linnetstile/net/journal_file.py
+++ b/linnetstile/net/journal_file.py
@@ -42,15 +42,20 @@
         self.rest_bytes = len(rest)
 
 
-def lock(file: int, path: Path) -> bool:
+def lock(file: int, path: Path, kind: int = fcntl.LOCK_EX) -> bool:
     """Whether the file at this path is ours from now on. A compaction may have put another in its place."""
     try:
-        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        fcntl.flock(file, kind | fcntl.LOCK_NB)
         return os.path.samestat(os.fstat(file), os.stat(path))
     except OSError:
         return False
 
 
+def lock_of_the_dead(file: int, path: Path) -> bool:
+    """Whether its process has ended. All that live may see so, and nobody goes on with the file meanwhile."""
+    return lock(file, path, fcntl.LOCK_SH)
+
+
 class JournalFile:
     """OSError from any method: what it was to write does not count, and may be tried again."""
 
--- a/linnetstile/net/other_journal.py
+++ b/linnetstile/net/other_journal.py
@@ -8,7 +8,7 @@
 
 from . import clock
 from .book import Book
-from .journal_file import LineReader, lock
+from .journal_file import LineReader, lock_of_the_dead
 from .records import Entry, progress
 
 
@@ -33,7 +33,7 @@
         if self.dead:
             os.stat(self.path)
             return
-        dead = lock(self.file, self.path)  # before the last read: then nothing comes after it
+        dead = lock_of_the_dead(self.file, self.path)  # before the last read: then nothing comes after it
         self._read()
         if not os.path.samestat(os.fstat(self.file), os.stat(self.path)):
             self._reopen()
@@ -80,17 +80,17 @@
         """Whether its file has the body of a message that is owed."""
         return self.owes(ident) and not self.entries[ident].borrowed
 
-    def says_more_than(self, other: OtherJournal, entry: Entry) -> bool:
-        """Whether this one, and not that other, is to tell what became of this message of the other's: its
-        process holds it, or its copy got further."""
-        mine = self.entries.get(entry.id)
-        if mine is None:
-            return False
-        if not self.dead and not mine.given:
-            return True
-        if progress(mine) != progress(entry):
-            return progress(mine) > progress(entry)
-        return (not mine.given, self.number) > (not entry.given, other.number)
+    def rank(self, ident: str) -> tuple[bool, tuple[bool, bool, int], bool, bool, int]:
+        """Of copies of one message the highest is the one to go by: what a living process holds, else what
+        got further, else what a living process offers."""
+        entry = self.entries[ident]
+        return (
+            not self.dead and not entry.given,
+            progress(entry),
+            not self.dead,
+            not entry.given,
+            self.number,
+        )
 
 
 class OtherJournals(dict[int, OtherJournal]):
@@ -133,9 +133,13 @@
         """Whether a process that starts would believe of any of the files that this message is owed."""
         return any(other.owes(ident) for other in self.values())
 
-    def know_more_than(self, other: OtherJournal, entry: Entry) -> bool:
-        """Whether this copy of a message is not the one to go by."""
-        return any(each is not other and each.says_more_than(other, entry) for each in self.values())
+    def to_take_up(self, other: OtherJournal) -> list[Entry]:
+        """What is left there, and of which no other file has a copy that goes before."""
+        return [entry for entry in other.left() if not self._has_better(other, entry.id)]
+
+    def _has_better(self, other: OtherJournal, ident: str) -> bool:
+        copies = (each for each in self.values() if each is not other and ident in each.entries)
+        return any(each.rank(ident) > other.rank(ident) for each in copies)
 
     def is_lending(self, lender: OtherJournal, mine: Book) -> bool:
         """Whether a message that is owed has its body in that file alone."""
--- a/linnetstile/net/replacement.py
+++ b/linnetstile/net/replacement.py
@@ -84,7 +84,7 @@
             return
         for entry in self.journal.ends_taken_up(other):
             self.take_up(entry)
-        for entry in other.left()[:TAKES]:
+        for entry in self.journal.others.to_take_up(other)[:TAKES]:
             mine = self.journal.taken_up(other, entry)
             if mine is not None:
                 self.take_up(mine)
--- a/tests/test_full_folder.py
+++ b/tests/test_full_folder.py
@@ -55,9 +55,10 @@
     for _ in range(2):  # the first may find that a file was compacted
         journal.look()
     mine = {each.id: each for each in journal.entries.values() if not each.given and not each.end}
-    for other in list(journal.others.values()):
+    first = all(other.number > journal.number for other in journal.living)
+    for other in [each for each in journal.others.values() if first or not each.dead]:
         ends = journal.ends_taken_up(other)
-        taken = [journal.taken_up(other, each) for each in other.left()]
+        taken = [journal.taken_up(other, each) for each in journal.others.to_take_up(other)]
         mine.update({each.id: each for each in [*ends, *taken] if each is not None and not each.end})
     mine.update({each.id: each for each in journal.taken_back()})
     journal.settle()
@@ -217,25 +218,28 @@
     assert [path.name for path in tmp_path.iterdir()] == ["journal-1"]
 
 
+@pytest.mark.parametrize("killed", [False, True])
 def test_three_processes_hold_each_message_once_whichever_file_has_its_body(
-    tmp_path: Path, now: list[float]
+    tmp_path: Path, now: list[float], killed: bool
 ) -> None:
+    """Guards against messages that nobody or two hold while a dead process's file has their bodies."""
     first = Journal(tmp_path, DISK)
     idents = fill(first, now)
     second = Journal(tmp_path, DISK)
     first.look()
-    first.give(list(first.entries.values()))
+    if not killed:
+        first.give(list(first.entries.values()))
+        assert set(take_up_all(second)) == set(idents)
+    kill(first)
     assert set(take_up_all(second)) == set(idents)
-    first.close()
-    second.look()
     third = Journal(tmp_path, DISK)
     assert not take_up_all(third)  # the second process lives and holds them
+    assert [other.number for other in third.living] == [1]
     second.look()
     second.give([second.entries[ident] for ident in idents])
     held = take_up_all(third)
     assert set(held) == set(idents) and all(each.body == BODY for each in held.values())
-    second.look()
-    second.settle()
+    assert not take_up_all(second)
     kill(second)
     for ident in idents:
         end(third, ident, now)
