Leave withdrawn what its dead taker had not yet read as withdrawn

What callers would see: a message that its client took back and handed in anew under another id is delivered as well, if it had been given to another process that was killed before it read that; since borrowing, without its body.

Cause: whoever took back what a dead taker had went by the taker's record alone, not by its own, which said that the message was withdrawn.

Change: it stays withdrawn, with the attempt that may have run.

--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -180,6 +180,8 @@
         if known is not None and not known.given:
             return None
         mine = resumed(entry)
+        if known is not None and known.end and not mine.end:
+            mine.end, mine.body = known.end, b""  # it was taken back, which its taker had not read
         if not mine.end:
             self._choose_body(mine, known)
         record = snapshot(mine)
--- a/tests/test_full_folder.py
+++ b/tests/test_full_folder.py
@@ -11,6 +11,7 @@
 
 from linnetstile.disk_budget import BLOCK_BYTES, DiskBudget, FileSizes
 from linnetstile.net import clock
+from linnetstile.net.records import WITHDRAWN
 from linnetstile.net.journal import Attempt, Entry, Journal, JournalError, JournalFull, encode, snapshot
 
 DISK = 3_000_000
@@ -144,6 +145,23 @@
     assert set(take_up_all(Journal(tmp_path, DISK))) == set(idents[:-1])
 
 
+def test_what_was_withdrawn_stays_so_though_its_dead_taker_had_not_read_that(
+    tmp_path: Path, now: list[float]
+) -> None:
+    """Guards against a second run, or one without a body, of what a client has taken back."""
+    old, new = Journal(tmp_path, DISK), Journal(tmp_path, DISK)
+    old.take(entry("a", now))
+    old.give([old.entries["a"]])
+    assert set(take_up_all(new)) == {"a"}
+    new.tried(new.entries["a"], now[0], "s-1", 0)
+    old.withdrawn("a")
+    kill(new)
+    assert not take_up_all(old)
+    assert old.entries["a"].end == WITHDRAWN and old.entries["a"].risk is not None
+    kill(old)
+    assert not take_up_all(Journal(tmp_path, DISK))
+
+
 def test_ends_that_a_dead_process_left_are_on_file_before_its_file_is_removed(
     tmp_path: Path, now: list[float]
 ) -> None:
