Keep the number of tries of a message that has ended

A test of the whole suite (test_messages_that_waited_share_a_call...) read it and found 0: the small form of an end had left it out.

--- a/linnetstile/net/book.py
+++ b/linnetstile/net/book.py
@@ -105,8 +105,9 @@
                 for ident in record["ids"]:
                     self._forget(str(ident))
             case "ends":
-                for ident, due, after_ms in record["of"]:
-                    self._put(settled(str(ident), str(record["state"]), float(due), float(after_ms)))
+                end = str(record["state"])
+                for ident, due, after_ms, tries in record["of"]:
+                    self._put(settled(str(ident), end, float(due), float(after_ms), int(tries)))
             case _:
                 return False
         return True
@@ -146,7 +147,7 @@
             case kind:
                 raise ValueError(f"unknown record {kind!r}")
         if entry.is_settled:
-            self._put(settled(entry.id, entry.end, entry.due, entry.after_ms))
+            self._put(settled(entry.id, entry.end, entry.due, entry.after_ms, entry.tries))
 
     def _take(self, entry: Entry) -> None:
         """A snapshot without a body says what has become of a message whose body came before."""
--- a/linnetstile/net/records.py
+++ b/linnetstile/net/records.py
@@ -90,9 +90,9 @@
     return replace(entry, risk=entry.risk or entry.out, out=None, given=False)
 
 
-def settled(ident: str, end: str, due: float, after_ms: float) -> Entry:
+def settled(ident: str, end: str, due: float, after_ms: float, tries: int) -> Entry:
     """What is kept of a message that has ended and, where it has to, been told."""
-    entry = Entry(ident, "", "", 0, None, due, due, "", b"", end=end, after_ms=after_ms)
+    entry = Entry(ident, "", "", 0, None, due, due, "", b"", tries, end=end, after_ms=after_ms)
     entry.told = entry.ends_by_notice
     return entry
 
@@ -104,7 +104,7 @@
         by_end.setdefault(entry.end, []).append(entry)
     for end, of_one_end in by_end.items():
         for some in in_parts(of_one_end):
-            ends = [[entry.id, round(entry.due), entry.after_ms] for entry in some]
+            ends = [[entry.id, round(entry.due), entry.after_ms, entry.tries] for entry in some]
             yield {"k": "ends", "state": end, "of": ends}
 
 
