--- a/tests/test_full_folder.py
+++ b/tests/test_full_folder.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from linnetstile.disk_budget import BLOCK_BYTES, DiskBudget, FileSizes
+from linnetstile.disk_budget import DiskBudget, FileSizes, in_blocks
 from linnetstile.net import clock
 from linnetstile.net.records import WITHDRAWN
 from linnetstile.net.journal import Attempt, Entry, Journal, JournalError, JournalFull, encode, snapshot
@@ -66,8 +66,19 @@
     return mine
 
 
+def hand_over(folder: Path, now: list[float]) -> tuple[Journal, Journal, list[str]]:
+    """A process with a full folder has given all to a second one, which holds it; and the messages' ids."""
+    old = Journal(folder, DISK)
+    idents = fill(old, now)
+    new = Journal(folder, DISK)
+    old.look()
+    old.give(list(old.entries.values()))
+    take_up_all(new)
+    return old, new, idents
+
+
 def used(folder: Path) -> int:
-    return sum(-(-path.stat().st_size // BLOCK_BYTES) * BLOCK_BYTES for path in folder.iterdir())
+    return sum(in_blocks(path.stat().st_size) for path in folder.iterdir())
 
 
 def end(journal: Journal, ident: str, now: list[float]) -> None:
@@ -95,12 +106,7 @@
     tmp_path: Path, now: list[float]
 ) -> None:
     """Guards against a second run after a replacement on a full folder and a kill."""
-    old = Journal(tmp_path, DISK)
-    idents = fill(old, now)
-    new = Journal(tmp_path, DISK)
-    old.look()
-    old.give(list(old.entries.values()))
-    take_up_all(new)
+    old, new, idents = hand_over(tmp_path, now)
     old.close()
     for ident in idents[:3]:
         end(new, ident, now)
@@ -114,12 +120,7 @@
 def test_an_end_is_kept_past_its_time_while_a_dead_file_says_it_is_owed(
     tmp_path: Path, now: list[float]
 ) -> None:
-    old = Journal(tmp_path, DISK)
-    idents = fill(old, now)
-    new = Journal(tmp_path, DISK)
-    old.look()
-    old.give(list(old.entries.values()))
-    take_up_all(new)
+    old, new, idents = hand_over(tmp_path, now)
     kill(old)
     end(new, idents[0], now)
     now[0] += 2 * DEADLINE_MS  # the others are late: their file is still there
@@ -268,12 +269,7 @@
 
 def test_a_body_is_on_file_at_each_step_of_a_hand_over(tmp_path: Path, now: list[float]) -> None:
     """Guards against a kill of both behind the old process's compaction: its taker had only borrowed."""
-    old = Journal(tmp_path, DISK)
-    idents = fill(old, now)
-    new = Journal(tmp_path, DISK)
-    old.look()
-    old.give(list(old.entries.values()))
-    take_up_all(new)
+    old, new, idents = hand_over(tmp_path, now)
     old.look()
     old.settle()
     old.tidy(now[0])
@@ -286,12 +282,7 @@
 def test_the_old_process_goes_on_with_what_its_dead_taker_had_not_copied(
     tmp_path: Path, now: list[float]
 ) -> None:
-    old = Journal(tmp_path, DISK)
-    idents = fill(old, now)
-    new = Journal(tmp_path, DISK)
-    old.look()
-    old.give(list(old.entries.values()))
-    take_up_all(new)
+    old, new, idents = hand_over(tmp_path, now)
     new.tried(new.entries[idents[-1]], now[0], "s-1", 0)
     kill(new)
     held = take_up_all(old)
