--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A relay that sends clients away takes them again after a restart, and nobody has ended the drain."""
+"""Where lists are pushed, a restarted relay goes on after 2 s with a list older than what its agent had."""
 
 from __future__ import annotations
 
@@ -8,41 +8,61 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from parts_2 import DOWN_S, Bench, Client, CouldNotRun, get, main, now, settings  # noqa: E402
+from parts_2 import DOWN_S, Bench, Client, Endpoint, main, now, settings  # noqa: E402
 
 CELL = 3
 RELAYS = 3  # BRIEF, "Scale": 2 to 3 relays
-LOOK_AT_S = 4.0  # LATER, "Sending clients away": at 4 s, a yes breaks the rule on lost messages
+GRACE_S = 0.25 + 0.05  # safety.drain-grace-ms, and 50 ms (PROTOCOL, "The rules on sockets")
+DOWN_FOR_S = 8.0  # STANDING: discovery is down for 8 s
+MESSAGES, PAUSE_S = 70, 0.1
+
+
+async def hand_in(client: Client) -> None:
+    for _ in range(MESSAGES):
+        await client.hand_in(CELL)
+        await asyncio.sleep(PAUSE_S)
 
 
 async def case(bench: Bench, trouble: bool) -> list[str]:
-    endpoint = await bench.endpoint("s-1", CELL)
-    bench.listing.put(endpoint.name, endpoint.address, CELL)
+    leaves, stays = await bench.endpoint("s-leaves", CELL), await bench.endpoint("s-stays", CELL)
+    for endpoint in (leaves, stays):
+        bench.listing.put(endpoint.name, endpoint.address, CELL)
     platform = await bench.platform()
-    relay = bench.relay(platform, settings(RELAYS))
+    relay = bench.relay(platform, settings(RELAYS, mode="push"))
     await relay.start()
-    client = Client(bench.record, relay.port)
-    for _ in range(5):
-        await client.hand_in(CELL)
-    status = await get(relay.door, "/-/drain", "POST")
-    drained_at = now()
-    bench.record.write(f"POST /-/drain: answer {status}")
-    if status is None or not 200 <= status < 300:
-        raise CouldNotRun("the relay does not drain")
-    await asyncio.sleep(1.0)
-    bench.record.write(f"GET /healthz at 1 s: answer {await get(relay.port, '/healthz')}")
+    await asyncio.sleep(2.0)
     if trouble:
         await relay.kill(relay.processes[-1])
-        await asyncio.sleep(DOWN_S)
-        await relay.begin()
-    await asyncio.sleep(max(0.0, drained_at + LOOK_AT_S - now()))
-    status = await get(relay.port, "/healthz")
-    bench.record.write(f"GET /healthz at {now() - drained_at:.2f} s: answer {status}")
-    taken = await client.hand_in(CELL, name="after-")
-    bench.record.write(f"a message handed in then: answer {taken}")
-    if status == 200:
-        return ["lost: GET /healthz is answered 200 at 4 s, and nobody called /-/resume"]
-    return []
+    bench.listing.change(leaves.name, "draining")
+    bench.record.write(f"{leaves.name} drains: the agent has it")
+    await asyncio.sleep(0.3)
+    if trouble:
+        platform.close()
+        platform.reset_all()
+        bench.record.write("discovery is down")
+    down_at = now()
+    await asyncio.sleep(DOWN_S - 0.3)
+    if trouble:
+        await relay.start()
+    ready_at = now()
+    client = Client(bench.record, relay.port)
+    messages = asyncio.create_task(hand_in(client))
+    await asyncio.sleep(max(0.0, down_at + DOWN_FOR_S - now()))
+    if trouble:
+        await platform.listen()
+        bench.record.write("discovery is back")
+    await messages
+    return breaches(leaves, ready_at)
+
+
+def breaches(leaves: Endpoint, ready_at: float) -> list[str]:
+    """Counted from when the new process was ready, which is later than its first moment."""
+    return [
+        f"drain: {call.ident} is sent to {leaves.name} {call.first_byte_at - ready_at:.2f} s after the relay "
+        "was ready, and its agent had the drain before the start"
+        for call in leaves.calls
+        if call.first_byte_at > ready_at + GRACE_S
+    ]
 
 
 if __name__ == "__main__":
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,8 @@
-"""After a change of configuration a relay cannot read a large list that comes in one piece for each entry."""
+"""A process that replaces another goes on with an endpoint that its relay was told drains."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -13,68 +12,67 @@
 
 CELL = 3
 RELAYS = 3  # BRIEF, "Scale": 2 to 3 relays
-ENDPOINTS = 400  # sixteen times 25: BRIEF has 20 to 26, STANDING up to sixteen times the endpoints
-NEWS_S = 4.0 + 0.05  # TERMS: news counts as told 4 s after the signal; PROTOCOL: limits grow by 50 ms
-GRACE_S = 0.25 + 0.05  # safety.drain-grace-ms, and the same 50 ms
-OLD_ENDS_S = 1.5  # TERMS: the old address closes its open connections after 1.5 s
-PLAY_S = 30.0
-PAUSE_S = 0.2
+GRACE_S = 0.25 + 0.05  # safety.drain-grace-ms, and 50 ms (PROTOCOL, "The rules on sockets")
+NEWS_S = 2.0 + 0.05  # LATER: news counts as told 2 s after the yes, and the same 50 ms
+OVERBOOKED_S = 8.0  # STANDING: `herd+mass` has discovery down for 8 s
+MESSAGES, PAUSE_S = 140, 0.1
 
 
-def fill(bench: Bench, endpoints: list[Endpoint]) -> None:
-    """Lists the endpoints of the case, and many others that get no message."""
-    for endpoint in endpoints:
-        bench.listing.put(endpoint.name, endpoint.address, CELL)
-    for number in range(ENDPOINTS - len(endpoints)):
-        bench.listing.put(f"s-other-{number}", endpoints[0].address, 100 + number // 3)
-
-
-async def hand_in(client: Client, until: float) -> None:
-    while now() < until:
+async def hand_in(client: Client) -> None:
+    for _ in range(MESSAGES):
         await client.hand_in(CELL)
         await asyncio.sleep(PAUSE_S)
 
 
-async def move(bench: Bench, relay: Relay, old: Platform) -> Platform:
-    """The configuration names another address, and the process gets SIGHUP."""
-    new = await bench.platform()
-    new.in_chunks = True
-    relay.platform = new
-    relay.configure()
-    relay.processes[-1].send_signal(signal.SIGHUP)
-    bench.record.write(f"SIGHUP: discovery is at {new.address}")
-    old.close()
-    asyncio.get_running_loop().call_later(OLD_ENDS_S, old.reset_all)
-    return new
+async def replace(bench: Bench, relay: Relay, platform: Platform, trouble: bool) -> float:
+    """Starts a second process; meanwhile the first one is told of a drain. When the second said yes."""
+    old = relay.processes[-1]
+    platform.asked.clear()
+    await platform.asked.wait()  # the first process has just begun another call of its watch
+    if trouble:
+        platform.overbooked = True  # for calls that begin from now on: the open one goes on
+    platform.asked.clear()
+    new = await relay.begin()
+    await platform.asked.wait()  # the second process has asked for the list
+    bench.listing.change("s-old", "draining")
+    bench.record.write("s-old drains")
+    await relay.ready(new)
+    yes_at = now()
+    await relay.terminate(old)
+    return yes_at
 
 
 async def case(bench: Bench, trouble: bool) -> list[str]:
-    leaves, stays = await bench.endpoint("s-leaves", CELL), await bench.endpoint("s-stays", CELL)
-    fill(bench, [leaves, stays])
+    old, other = await bench.endpoint("s-old", CELL), await bench.endpoint("s-other", CELL)
     platform = await bench.platform()
-    platform.in_chunks = True
+    for endpoint in (old, other):
+        bench.listing.put(endpoint.name, endpoint.address, CELL)
     relay = bench.relay(platform, settings(RELAYS))
     await relay.start()
-    await asyncio.sleep(3.0)
+    await asyncio.sleep(3.0)  # the watch is open
     began = now()
-    if trouble:
-        platform = await move(bench, relay, platform)
     client = Client(bench.record, relay.port)
-    messages = asyncio.create_task(hand_in(client, began + PLAY_S))
-    await asyncio.sleep(2.0)
-    bench.listing.change(leaves.name, "draining")
-    bench.record.write(f"{leaves.name} drains")
+    messages = asyncio.create_task(hand_in(client))
+    yes_at = await replace(bench, relay, platform, trouble)
+    await asyncio.sleep(max(0.0, began + OVERBOOKED_S - now()))
+    platform.overbooked = False
+    bench.record.write("discovery takes calls again")
     await messages
     await asyncio.sleep(1.0)
-    return breaches(leaves, began + NEWS_S)
+    return breaches(platform, old, yes_at)
 
 
-def breaches(leaves: Endpoint, told_at: float) -> list[str]:
+def breaches(platform: Platform, old: Endpoint, yes_at: float) -> list[str]:
+    """Calls to the draining endpoint that neither the grace nor the time for news after the yes allows."""
+    told_at = platform.told.get(("s-old", "draining"))
+    if told_at is None:
+        return []
+    by = max(told_at + GRACE_S, yes_at + NEWS_S)
     return [
-        f"drain: {call.ident} is sent to {leaves.name} {call.first_byte_at - told_at:.2f} s after its drain "
-        "counted as told"
-        for call in leaves.calls
-        if call.first_byte_at > told_at + GRACE_S
+        f"drain: {call.ident} is sent to s-old {call.first_byte_at - told_at:.2f} s after it was told, "
+        f"{call.first_byte_at - yes_at:.2f} s after the yes"
+        for call in old.calls
+        if call.first_byte_at > by
     ]
 
 
