Wait for the relay's first call for the list before a test's platform goes silent

Cause: a fault of the test. /healthz says yes before the first call for the list has come; where it came after the platform held its answers back, the list was held back too, and calls rightly wait 2 s for it.

Change: the platform holds back nothing before that call has come, in both cases that do so (replaced_platform_answers_last has the same order).

--- a/tests/test_incident_8311.py
+++ b/tests/test_incident_8311.py
@@ -42,6 +42,11 @@
         self.known_by = set[int]()  # connections whose requests say that they have the newest list
         self.newest: dict[str, Any] | None = None  # the list that each call is answered with
 
+    async def hold_answers(self) -> None:
+        """Until `answers` is set, but for the first call for the list: calls to endpoints wait for it."""
+        assert await soon(lambda: any(seen.target.startswith("/v1/servers") for seen in self.arrived))
+        self.answers.clear()
+
     async def reply(self, seen: Seen) -> bytes | None | str:
         self.arrived.append(seen)
         if seen.connection <= self.silent_up_to:
@@ -64,7 +69,7 @@
 async def all_kept_connections_fall_silent(platform: Platform, server: Server, process: FaultProcess) -> None:
     server.usual = answer(500)
     await process.start()
-    platform.answers.clear()
+    await platform.hold_answers()
     for number in range(4):
         before = platform.opened
         await process.hand_in(message(f"first-{number}", "unsafe"))
@@ -85,7 +90,7 @@
     await successor.start()
     server.usual = answer(500)
     await process.start()
-    platform.answers.clear()
+    await platform.hold_answers()
     await process.hand_in(message("moved", "unsafe"))
     assert await soon(lambda: any("moved" in str(each.body) for each in platform.arrived))
     process.process.send_signal(signal.SIGSTOP)  # the signal, and the old answer, come before it runs again
