Count every file of the state folder, and remove spare files of killed processes

Change: net/state_folder.py looks at the folder. A process that begins tries again where another had just looked at its spare file. Beside it: a process's own spare file that could not be removed counts, and is removed later; a file that goes while the folder is measured is passed over. Two tests that made listdir fail make scandir fail, which is the call now.

--- a/linnetstile/disk_budget.py
+++ b/linnetstile/disk_budget.py
@@ -42,12 +42,10 @@
         self.failed_compactions = 0
         self._failed: _FailedCompaction | None = None
 
-    def room(self, others_bytes: int | None) -> int:
-        """For this process's files, where the others' take so much; None: there are no others. Two processes
+    def room(self, others_bytes: int, shared: bool) -> int:
+        """For this process's files, where all others in the folder take so much. Two processes (`shared`)
         write between each other's looks, which a reserve of each covers."""
-        return (
-            self.limit_bytes if others_bytes is None else self.limit_bytes - others_bytes - 2 * RESERVE_BYTES
-        )
+        return self.limit_bytes - others_bytes - (2 * RESERVE_BYTES if shared else 0)
 
     def accepts(self, live_bytes: int) -> bool:
         """Whether so much may be live, so that a compaction and the records to come stay possible."""
--- a/linnetstile/net/figures.py
+++ b/linnetstile/net/figures.py
@@ -11,7 +11,14 @@
 PREFIX = "relay"
 ENDS = {"delivered": "ok", "returned": "shed", "failed": "errors"}  # how a message ended, and where it counts
 
-FOLDER_GAUGES = ("journal_bytes", "journal_live_bytes", "failed_compactions", "unknown_records")
+FOLDER_GAUGES = (
+    "folder_bytes",
+    "journal_bytes",
+    "journal_live_bytes",
+    "failed_compactions",
+    "removed_spares",
+    "unknown_records",
+)
 MEMORY_GAUGES = (
     "resident_bytes",
     "receiving_bytes",
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -313,6 +313,8 @@
                 log.warning("the loop stood still for %.0f ms", pause_ms)
             try:
                 gauges["longest_loop_pause_ms"] = max(gauges["longest_loop_pause_ms"], int(pause_ms))
+                gauges["folder_bytes"] = self.journal.folder_bytes
+                gauges["removed_spares"] = self.journal.folder.removed_spares
                 gauges["journal_bytes"] = self.journal.size
                 gauges["journal_live_bytes"] = self.journal.live
                 gauges["failed_compactions"] = self.journal.budget.failed_compactions
--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -11,8 +11,6 @@
 from __future__ import annotations
 
 import logging
-import os
-import re
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import replace
@@ -36,6 +34,7 @@
     snapshot,
     state_of,
 )
+from .state_folder import FolderContents, StateFolder, journal_name
 
 __all__ = [
     "Attempt",
@@ -52,7 +51,6 @@
 
 STAMP = 48  # bytes that `n`, `t` and `b` add to a record
 FORGET_FOR_ROOM_MS = 50.0  # after the first of them has become over
-NAME = re.compile(r"journal(?:-(\d{1,9}))?")
 
 
 class JournalError(Exception):
@@ -68,7 +66,8 @@
 
     def __init__(self, folder: Path, disk_bytes: int) -> None:
         super().__init__()
-        self.folder = folder
+        self.folder = StateFolder(folder)
+        self.others_bytes = 0  # of the folder's other files, as of the latest look
         self.budget = DiskBudget(disk_bytes)
         self.others = OtherJournals()
         self.waiting: deque[dict[str, Any]] = deque()  # what memory knows and the file does not, oldest first
@@ -77,6 +76,7 @@
         self.failing = False  # the folder takes no records, and the log has said so
         self._open()
         try:
+            self._measure_others(self.folder.contents())
             self._restore()
             self._look()
         except OSError:
@@ -91,7 +91,7 @@
 
     def _open(self) -> None:
         """Goes on with the file that ended last, unless a process with a later one runs: then begins one."""
-        last = max(self._numbers(), default=-1)
+        last = max(self.folder.contents().journals, default=-1)
         if last >= 0:
             self._name(last)
             if self.journal_file.open():
@@ -105,11 +105,7 @@
 
     def _name(self, number: int) -> None:
         self.number = number
-        self.journal_file = JournalFile(self.folder / (f"journal-{number}" if number else "journal"))
-
-    def _numbers(self) -> dict[int, Path]:
-        found = ((NAME.fullmatch(name), name) for name in os.listdir(self.folder))
-        return {int(match[1] or 0): self.folder / name for match, name in found if match}
+        self.journal_file = JournalFile(self.folder.path / journal_name(number))
 
     @property
     def path(self) -> Path:
@@ -131,11 +127,19 @@
         return self.others.living
 
     def _look(self) -> None:
-        numbers = self._numbers()
-        numbers.pop(self.number, None)
-        self.others.follow(numbers, self._met)
+        contents = self.folder.contents()
+        journals = {number: path for number, path in contents.journals.items() if number != self.number}
+        self.others.follow(journals, self._met)
+        dead = {other.number for other in self.others.values() if other.dead}
+        living = {self.number, *self.others} - dead
+        if self.folder.remove_leftover_spares(contents.spares, living, dead):
+            contents = self.folder.contents()
+        self._measure_others(contents)
         self.budget.room_bytes = self.room
 
+    def _measure_others(self, contents: FolderContents) -> None:
+        self.others_bytes = contents.bytes_besides(self.journal_file.names)
+
     def look(self) -> None:
         """Reads along with the others, if there are any."""
         try:
@@ -440,13 +444,15 @@
 
     @property
     def room(self) -> int:
-        """Bytes that this process's files may take: all that the others' leave."""
-        return self.budget.room(self._others_bytes() if self.others else None)
+        """Bytes that this process's files may take: all that the others leave."""
+        if self.others:  # they are written to between two looks
+            self._measure_others(self.folder.contents())
+        return self.budget.room(self.others_bytes, bool(self.others))
 
-    def _others_bytes(self) -> int:
-        mine = self.path.name, self.journal_file.spare.name
-        with os.scandir(self.folder) as found:
-            return sum(in_blocks(each.stat().st_size) for each in found if each.name not in mine)
+    @property
+    def folder_bytes(self) -> int:
+        """What all files of the folder take, as of the latest look."""
+        return in_blocks(self.size) + self.others_bytes
 
     def _fits(self, more: int) -> bool:
         """Room for a message."""
--- a/linnetstile/net/journal_file.py
+++ b/linnetstile/net/journal_file.py
@@ -20,6 +20,8 @@
 
 PART_BYTES = 64 * 1024  # read or written at once: a whole file would stand in memory several times
 FLAGS = os.O_RDWR | os.O_APPEND
+SPARE_SUFFIX = ".new"
+CREATE_TRIES = 100  # another process may hold the lock for a moment, to see whether the file was left behind
 
 
 class LineReader:
@@ -61,11 +63,18 @@
 
     def __init__(self, path: Path) -> None:
         self.path = path
-        self.spare = path.with_name(f"{path.name}.new")
+        self.spare = path.with_name(path.name + SPARE_SUFFIX)
         self.file = -1
         self.size = 0  # bytes it takes in the folder, at most
         self.torn = False  # its end is unknown
         self.renaming = False  # whether its name is still that of this file is unknown
+        self.spare_left = False  # the spare file could not be removed
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Of its files, but for a spare file that is there to be removed."""
+        has_spare = self.spare_left or self.renaming
+        return (self.path.name,) if has_spare else (self.path.name, self.spare.name)
 
     def open(self) -> bool:
         """Whether it exists and no living process has it."""
@@ -78,13 +87,18 @@
         return False
 
     def create(self) -> None:
-        self.file = os.open(self.spare, FLAGS | os.O_CREAT | os.O_TRUNC, 0o600)
-        # Locked before it has its name: nobody may take it for a dead one's.
-        if not lock(self.file, self.spare):
-            raise OSError(f"{self.spare} belongs to another process that starts just now")
+        self._lock_spare()  # before it has its name: nobody may take it for a dead one's
         os.link(self.spare, self.path)
         self._remove_spare()
 
+    def _lock_spare(self) -> None:
+        for _ in range(CREATE_TRIES):
+            self.file = os.open(self.spare, FLAGS | os.O_CREAT | os.O_TRUNC, 0o600)
+            if lock(self.file, self.spare):
+                return
+            self.close()
+        raise OSError(f"{self.spare} belongs to another process that starts just now")
+
     def read(self) -> Iterator[bytes]:
         """All whole lines. Its size is known once they are read."""
         reader = LineReader(self.file)
@@ -96,6 +110,8 @@
     def append(self, line: bytes) -> None:
         if self.renaming:
             self._settle_name()
+        if self.spare_left:
+            self._remove_spare()
         data = TORN + b"\n" + line if self.torn else line
         torn, self.torn = self.torn, True
         try:
@@ -146,8 +162,11 @@
         self.file = -1  # Guards whatever gets this descriptor next against a late record
 
     def _remove_spare(self) -> None:
-        with suppress(OSError):  # the next compaction writes it anew
+        try:
             self.spare.unlink(missing_ok=True)
+            self.spare_left = False
+        except OSError:  # tried again before the next record; the next compaction writes it anew
+            self.spare_left = True
 
     def _measure(self, more: int) -> None:
         try:
@@ -168,3 +187,4 @@
             os.close(named)
             raise OSError("the journal's name belongs to another file")
         self.renaming = False
+        self._remove_spare()
--- a/tests/test_journal_faults.py
+++ b/tests/test_journal_faults.py
@@ -122,7 +122,7 @@
     assert set(again.entries) == {"a", "b"} and again.entries["a"].end == "failed"
 
 
-@pytest.mark.parametrize("step", ["listdir", "open", "pread", "link"])
+@pytest.mark.parametrize("step", ["scandir", "open", "pread", "link"])
 def test_a_start_on_a_failing_folder_keeps_no_descriptor(tmp_path: Path, step: str) -> None:
     if step != "link":
         reopened(Journal(tmp_path, DISK), tmp_path).close()
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -181,6 +181,7 @@
             begun = await figures(host)
             assert begun.pop("resident_bytes") > 0 and begun.pop("longest_client_turn_us") >= 0
             assert begun.pop("longest_loop_pause_ms") >= 0 and begun.pop("journal_bytes") > 0
+            assert begun.pop("folder_bytes") > 0
             assert begun == {
                 **{
                     f"{what}.{name}": 0
@@ -194,6 +195,7 @@
                 "receiving_bytes": 0,
                 "journal_live_bytes": 0,
                 "failed_compactions": 0,
+                "removed_spares": 0,
                 "unknown_records": 0,
                 **{f"refused.{why}": 0 for why in Refusal},
                 **{f"unsolicited.{peer}.{position}": 0 for peer in Peer for position in Position},
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -109,7 +109,7 @@
     ("setsockopt", "EINVAL"),
     ("open", "EMFILE"),
     ("link", "EIO"),
-    ("listdir", "EIO"),
+    ("scandir", "EIO"),
     ("flock", "ENOLCK"),
     ("write", "ENOSPC"),
     ("stat", "EIO"),
