Bind each process of a relay by what the other was told of endpoints

Cause: the names in the journals were read once, at the start. What another process wrote later was read along and handed to nobody. Beside it: a process that took up a dead one's file removed it, and with it what it said of endpoints.

Change: what another process was told goes before this process's list, until discovery has answered a call that began after that was read: the list is at least as new from then on, however discovery counts its versions (unready_reports.py). The latest 8,192 names are kept, and their room is counted.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -20,6 +20,7 @@
     Elsewhere,
     Endpoint,
     EndpointList,
+    EndpointsUnready,
     Event,
     Fail,
     HandOver,
@@ -113,6 +114,8 @@
                     self._wait_told(now_ms, event)
                 case EndpointList():
                     self._listed(now_ms, event)
+                case EndpointsUnready():
+                    self._drop_unready(now_ms, event)
                 case ListUnconfirmed():
                     self.confirmation.doubt(now_ms, event.why)
                 case ListUnanswered():
@@ -175,6 +178,11 @@
         for entry in ready.values():
             self._add(now, entry)
 
+    def _drop_unready(self, now: float, event: EndpointsUnready) -> None:
+        for ident in event.endpoints:
+            if (endpoint := self.endpoints.pop(ident, None)) is not None:
+                self._drop(now, endpoint)
+
     def _drop(self, now: float, endpoint: EndpointState) -> None:
         """Nothing new goes to an endpoint that drains or is gone; a lane goes with its last trace."""
         del endpoint.lane.endpoints[endpoint.entry.id]
--- a/linnetstile/interface.py
+++ b/linnetstile/interface.py
@@ -320,8 +320,17 @@
     silent: bool  # nothing has come yet; else an error has
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointsUnready:
+    """Another process of this relay was told that these endpoints drain or are gone. A change of the list
+    says that they are ready again."""
+
+    endpoints: tuple[int, ...]
+
+
 Event = Union[
     EndpointList,
+    EndpointsUnready,
     ListUnconfirmed,
     ListUnanswered,
     Message,
--- a/linnetstile/net/agent.py
+++ b/linnetstile/net/agent.py
@@ -29,6 +29,7 @@
         self.on_answer: Callable[[Link], None] = lambda link: None
         self.on_doubt: Callable[[], None] = lambda: None  # what follows the last answer casts doubt on it
         self.in_doubt = False
+        self.asked_at_s = 0.0  # on the loop's clock, when the request began that was answered last
         self._reached = False
 
     @property
@@ -45,7 +46,7 @@
 
     async def ask(self, method: str, target: str, body: bytes, seconds: float) -> tuple[int, bytes]:
         """Safe to repeat at will: the agent takes each of its requests any number of times."""
-        self.in_doubt = False
+        self.in_doubt, self.asked_at_s = False, asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(seconds):
                 head, answer = await self._ask(method, target, body)
--- a/linnetstile/net/book.py
+++ b/linnetstile/net/book.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from . import clock
+from .bounded_names import BoundedNames
 from .records import TORN, WITHDRAWN, Attempt, Entry, decode, entry_of, settled
 
 log = logging.getLogger(__name__)
@@ -19,6 +20,7 @@
 ENDED = 320  # nothing is added to it any more
 SETTLED = 128  # many share a record; also bounds how many of them memory holds
 STEP_MS = 1000.0  # the monotonic clock never goes back: if it seems to by so much, the boot is another
+MOST_UNREADY = 8192  # endpoints: several times as many as a list has, and 5% of the smallest folder
 WINDOW_CLOSED_MS = -1e12  # when an attempt began that another boot made: no key window is still open
 
 
@@ -33,7 +35,9 @@
         self.role = ""  # of its process: see replacement.py
         self.calls: dict[str, int] = {}  # out while it yields, by destination
         self.lanes: dict[tuple[int, str], list[list[Any]]] = {}  # what it told of destinations and routes
-        self.unlisted: set[str] = set()  # endpoints that discovery has told are not ready any more
+        self.told_unready = BoundedNames(MOST_UNREADY)  # endpoints, as discovery told its process
+        self.heard_unready = BoundedNames(MOST_UNREADY)  # and as another process of the relay did
+        self.unready_changes = 0  # how often either has changed
         self.repeated_ids: set[str] = set()  # the other process's, accepted here once more
         self.withdrawn_ids: list[str] = []  # by clients, as far as nobody has asked
         self.sequence = 0  # `n` of the latest record
@@ -95,9 +99,9 @@
             case "lane":
                 self.lanes[int(record["dest"]), str(record["ep"])] = list(record["told"])
             case "unlisted":
-                self.unlisted.update(str(name) for name in record["names"])
+                self._unready([str(name) for name in record["names"]], bool(record.get("heard")))
             case "listed":
-                self.unlisted.difference_update(str(name) for name in record["names"])
+                self._ready([str(name) for name in record["names"]])
             case "give":
                 for entry in filter(None, map(self.entries.get, record["ids"])):
                     entry.given = True
@@ -112,6 +116,30 @@
                 return False
         return True
 
+    def _unready(self, names: list[str], heard: bool) -> None:
+        self._ready(names)
+        kept = self.heard_unready if heard else self.told_unready
+        before = kept.record_bytes
+        kept.add(names)
+        self.live += kept.record_bytes - before
+
+    def _ready(self, names: list[str]) -> None:
+        self.unready_changes += 1
+        for kept in (self.told_unready, self.heard_unready):
+            self.live -= kept.record_bytes
+            kept.discard(names)
+            self.live += kept.record_bytes
+
+    @property
+    def unlisted(self) -> set[str]:
+        """Endpoints that are not ready any more, as discovery told this file's process."""
+        return set(self.told_unready)
+
+    @property
+    def all_unready(self) -> set[str]:
+        """The same, or as another process of the relay did."""
+        return {*self.told_unready, *self.heard_unready}
+
     def _of_a_message(self, record: dict[str, Any]) -> None:
         ident = str(record["id"])
         match record["k"]:
--- a/linnetstile/net/discovery.py
+++ b/linnetstile/net/discovery.py
@@ -6,11 +6,12 @@
 import json
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import Any
 
 from ..interface import Endpoint, EndpointList, Listing, ListKind, ListUnanswered, Settings
+from ..unready_reports import UnreadyReports
 from .agent import Agent, AgentError, Silent
 from .backoff import Backoff, Rounds
 from .config import Address, address
@@ -60,7 +61,8 @@
         self.by_name: dict[str, Known] = {}
         self.by_number: dict[int, Known] = {}
         self.dests: dict[int, int] = {}  # destination -> how many endpoints of it are listed
-        self.touched: set[str] | None = None  # names in the last answer; None: it was the whole list
+        self.touched: set[str] = set()  # names of which the last answer may have changed something
+        self.reports = UnreadyReports()  # of other processes of this relay; they go before the list
         self.left: set[int] = set()  # those that lost their last one, until somebody asks
         self.version = -1
         self.numbers = 0
@@ -78,8 +80,9 @@
     def zone(self, name: object) -> int:
         return self.zones.index(str(name)) if name in self.zones else 0
 
-    def apply(self, raw: dict[str, Any]) -> EndpointList:
-        """Takes an answer but for entries that cannot be read; ValueError says that it is no list at all."""
+    def apply(self, raw: dict[str, Any], asked_ms: float = 0.0) -> EndpointList:
+        """Takes an answer to a call that began then, but for entries that cannot be read; ValueError says
+        that it is no list at all. 0: nobody was asked, so what other processes have reported still binds."""
         try:
             version, whole = int(raw["generation"]), bool(raw["reset"])
             items = list(raw["instances"])
@@ -89,7 +92,9 @@
             self.version = -1  # what this process has cannot be trusted either: the next call asks for all
             raise ValueError("changes up to an older version than is known")
         found = [known for known in map(self._readable, items) if known is not None]
+        self.touched = self.reports.release(asked_ms)
         if whole:
+            self.touched.update(self.by_name)
             self.left.update(self.dests)
             self.by_name.clear()
             self.by_number.clear()
@@ -100,19 +105,35 @@
                 self.by_name[known.name] = self.by_number[known.entry.id] = known
                 self.dests[known.entry.destination] = self.dests.get(known.entry.destination, 0) + 1
         self.version = version
-        self.touched = None if whole else {known.name for known in found}
         kind = ListKind.WHOLE if whole else ListKind.CHANGES
-        return EndpointList(kind, tuple(known.entry for known in found))
+        released = self.touched.difference(known.name for known in found) if not whole else set()
+        found += [self.by_name[name] for name in released if name in self.by_name]
+        self.touched.update(known.name for known in found)
+        return EndpointList(kind, tuple(map(self._reported, found)))
+
+    def _reported(self, known: Known) -> Endpoint:
+        """Its entry, as far as the list goes before what other processes have reported."""
+        is_reported = known.is_ready and known.name in self.reports
+        return replace(known.entry, listing=Listing.DRAINING) if is_reported else known.entry
+
+    def report_unready(self, names: Iterable[str], now_ms: float) -> tuple[int, ...]:
+        """Another process of this relay was told that these are not ready; the numbers of those that were."""
+        ready = [known for name in names if (known := self.by_name.get(name)) and self._takes_new(known)]
+        self.reports.report(names, now_ms)
+        return tuple(known.entry.id for known in ready)
+
+    def _takes_new(self, known: Known) -> bool:
+        return known.is_ready and known.name not in self.reports
 
     def is_ready(self, name: str) -> bool:
-        """Whether it is listed, and takes something new."""
+        """Whether the list, if no report goes before it, says that it takes something new."""
         known = self.by_name.get(name)
-        return known is not None and known.is_ready
+        return known is not None and self._takes_new(known)
 
     def ready(self, number: int) -> Known | None:
         """The endpoint of that number, if it is listed and takes something new."""
         known = self.by_number.get(number)
-        return known if known is not None and known.is_ready else None
+        return known if known is not None and self._takes_new(known) else None
 
     def _lose(self, name: str) -> None:
         known = self.by_name.pop(name, None)
@@ -124,12 +145,6 @@
                 del self.dests[dest]
                 self.left.add(dest)
 
-    def drop(self, names: set[str]) -> EndpointList:
-        """Without these endpoints; the whole list that is left."""
-        for name in names:
-            self._lose(name)
-        return EndpointList(ListKind.WHOLE, tuple(known.entry for known in self.by_name.values()))
-
     def lost(self) -> set[int]:
         """The destinations that have lost their last endpoint since this was last asked."""
         lost, self.left = {dest for dest in self.left if dest not in self.dests}, set()  # walks not all dests
@@ -209,7 +224,8 @@
         while True:
             asked = asyncio.get_running_loop().time()
             try:
-                version, event = self.directory.version, self.directory.apply(await self._ask())
+                version, raw = self.directory.version, await self._ask()
+                event = self.directory.apply(raw, 1000 * self.agent.asked_at_s)
                 self.told(event)
                 if version != self.directory.version:
                     log.info("discovery: version %d, %d entries", self.directory.version, len(event.entries))
--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -105,7 +105,7 @@
             raise
         self.directory = Directory.of(config.settings, config.zones)
         self.configured = names_of(config.known)  # what the next process begins with, as far as is known
-        self.unlisted_noted = False  # the journal has all that is known of them
+        self.unnoted = set(self.configured)  # endpoints that the journal may not know as the list does
         self.intake = Intake(config.settings, self.classes, self.tenants, self._knows_destination)
         self.dests: dict[int, float] = {}  # destinations that are known though none is listed: until when
         self.figures = Figures(self.classes, self.invariants)
@@ -127,7 +127,13 @@
         self.management: ManagementServer | None = None
         self.loop: asyncio.AbstractEventLoop | None = None
         self.replacement = Replacement(
-            self.journal, self.relay, self.directory, self._turn_now, self._take_up, self._withdrawn
+            self.journal,
+            self.relay,
+            self.directory,
+            self._turn_now,
+            self._take_up,
+            self._withdrawn,
+            self._reported_unready,
         )
         self.linked = api.Mode.CALLS
         self.rest_bytes = resident_bytes()
@@ -187,11 +193,11 @@
                 }
             )
             self.management.open(self.config.mgmt)
+        self._reported_unready(self.journal.known_unlisted())
         if self.config.known:
             try:
-                self.directory.apply(self.config.known)
-                left = self.directory.drop(self.journal.known_unlisted())
-                self.listed(replace(left, kind=api.ListKind.CACHED))
+                known = self.directory.apply(self.config.known)
+                self.listed(replace(known, kind=api.ListKind.CACHED))
                 self._feed(api.ListUnconfirmed(api.ListDoubt.STARTED))
             except ValueError as error:
                 log.warning("the known list of endpoints is passed over: %s", error)
@@ -568,17 +574,29 @@
 
     def told_by_discovery(self, event: api.EndpointList) -> None:
         self.news.set()
-        if event.entries or event.kind is api.ListKind.WHOLE:
-            self._note_unlisted()
+        self._note_unlisted()
         self.listed(event)
 
     def _note_unlisted(self) -> None:
-        """Follows the change, not the list; all is compared after a whole list, or where a record failed."""
-        touched = self.directory.touched
-        if touched is None or not self.unlisted_noted:
-            touched = self.configured | self.journal.unlisted
-        unlisted = {name for name in touched & self.configured if not self.directory.is_ready(name)}
-        self.unlisted_noted = self._journal(lambda: self.journal.says_unlisted(unlisted, touched))
+        """Follows the change, not the list. What another process has reported since the list was asked for
+        is not this one's to say; what no record could be written of is compared again."""
+        self.unnoted |= self.directory.touched
+        names = {name for name in self.unnoted if name not in self.directory.reports}
+        if not names:
+            return
+        unlisted = {name for name in names & self.configured if not self.directory.is_ready(name)}
+        if self._journal(lambda: self.journal.says_unlisted(unlisted, names)):
+            self.unnoted -= names
+
+    def _reported_unready(self, names: set[str]) -> None:
+        """Another process of this relay was told that these endpoints drain or are gone, this one perhaps not
+        yet: that binds it, and the next one, until discovery has answered a later call."""
+        self._journal(lambda: self.journal.heard_unlisted(names))
+        endpoints = self.directory.report_unready(names, self.now())
+        if endpoints:
+            log.info("%d endpoints are not ready, as another process was told", len(endpoints))
+            self._keep_links()
+            self._feed(api.EndpointsUnready(endpoints))
 
     def listed(self, event: api.EndpointList) -> None:
         self._know_dests()
--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -288,15 +288,24 @@
 
     def says_unlisted(self, names: set[str], among: set[str]) -> None:
         """Which of these endpoints are not ready any more, as discovery has told; the others of them are."""
-        listed = (self.unlisted & among) - names
-        changes = [("unlisted", sorted(names - self.unlisted)), ("listed", sorted(listed))]
+        listed = [name for name in sorted(among - names) if self._is_unready(name)]
+        unlisted = [name for name in sorted(names) if name not in self.told_unready]
+        changes = [("unlisted", unlisted), ("listed", listed)]
         self._record(
             *({"k": kind, "names": list(some)} for kind, changed in changes for some in in_parts(changed))
         )
 
+    def heard_unlisted(self, names: set[str]) -> None:
+        """The same of endpoints of which another process of this relay was told: it binds also the next."""
+        new = [name for name in sorted(names) if not self._is_unready(name)]
+        self._record(*({"k": "unlisted", "names": list(some), "heard": True} for some in in_parts(new)))
+
+    def _is_unready(self, name: str) -> bool:
+        return name in self.told_unready or name in self.heard_unready
+
     def known_unlisted(self) -> set[str]:
         """As this process, or an earlier or another one of this relay, has heard."""
-        return self.unlisted.union(*(other.unlisted for other in self.others.values()))
+        return self.all_unready.union(*(other.all_unready for other in self.others.values()))
 
     def says_role(self, role: str) -> None:
         self._record({"k": "role", "role": role})
@@ -506,7 +515,9 @@
             for (dest, endpoint), told in self.lanes.items():
                 yield {"k": "lane", "dest": dest, "ep": endpoint, "told": told}
             yield {"k": "calls", "out": self.calls}
-        for some in in_parts(sorted(self.unlisted)):
+        for some in in_parts(list(self.heard_unready)):
+            yield {"k": "unlisted", "names": list(some), "heard": True}
+        for some in in_parts(list(self.told_unready)):
             yield {"k": "unlisted", "names": list(some)}
         if self.role:
             yield {"k": "role", "role": self.role}
--- a/linnetstile/net/other_journal.py
+++ b/linnetstile/net/other_journal.py
@@ -21,6 +21,8 @@
         self.at = 0
         self.dead = False
         self.taken: set[str] = set()  # ids that were taken up from it: never twice
+        self.seen_unready: set[str] = set()  # of its endpoints that are not ready, those that were asked for
+        self.seen_changes = (-1, False)  # what they depended on then
         self.file = os.open(path, os.O_RDWR)
         try:
             self.look()
@@ -53,7 +55,7 @@
         """Compacted: the new file says all that still counts."""
         old, self.file, self.at = self.file, os.open(self.path, os.O_RDWR), 0
         os.close(old)
-        for kept in (self.entries, self.sizes, self.unlisted):
+        for kept in (self.entries, self.sizes, self.told_unready, self.heard_unready):
             kept.clear()
         self.live = self.sequence = 0
         self._read()
@@ -62,6 +64,16 @@
         since, self.withdrawn_ids = self.withdrawn_ids, []
         return since
 
+    def unready_since(self) -> set[str]:
+        """Endpoints that its process has said since this was last asked are not ready. A living one's word
+        is what discovery told itself: what it heard from others would go to and fro between two."""
+        changes = (self.unready_changes, self.dead)
+        if changes == self.seen_changes:
+            return set()
+        names = self.all_unready if self.dead else self.unlisted
+        new, self.seen_unready, self.seen_changes = names - self.seen_unready, names, changes
+        return new
+
     def left(self) -> list[Entry]:
         """What its process has given away, or left behind, and nobody has taken up yet."""
         return [e for e in self.entries.values() if e.id not in self.taken and (e.given or self.dead)]
@@ -122,6 +134,10 @@
             other.close()
             del self[other.number]
 
+    def unready_since(self) -> set[str]:
+        """Endpoints that any of them has said since this was last asked are not ready."""
+        return set[str]().union(*(other.unready_since() for other in self.values()))
+
     def copies_of(self, ident: str) -> list[Entry]:
         return [other.entries[ident] for other in self.values() if ident in other.entries]
 
--- a/linnetstile/net/replacement.py
+++ b/linnetstile/net/replacement.py
@@ -32,9 +32,11 @@
         turn: Callable[[list[api.Event]], None],
         take_up: Callable[[Entry], None],
         withdrawn: Callable[[str], None],
+        reported_unready: Callable[[set[str]], None] = lambda names: None,
     ) -> None:
         self.journal, self.relay, self.directory = journal, relay, directory
         self.turn, self.take_up, self.withdrawn = turn, take_up, withdrawn
+        self.reported_unready = reported_unready  # endpoints, as another process was told
         self.serving = self.stopping = False
         self.mode = api.Mode.CALLS
         self.elsewhere = api.Elsewhere()
@@ -68,6 +70,8 @@
         for other in list(self.journal.others.values()):
             for ident in other.withdrawn_since():
                 self.withdrawn(ident)
+        if unready := self.journal.others.unready_since():
+            self.reported_unready(unready)
         self._decide()
         try:
             for other in list(self.journal.others.values()):
