Remember every endpoint that is told not to be ready, not only the configured ones

An endpoint that was added later, and one of which only an earlier process had been told, was not.

Change: all that a list touches is noted; what a whole list has no more counts as gone.

--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -104,8 +104,7 @@
             self.ingress.unbind()
             raise
         self.directory = Directory.of(config.settings, config.zones)
-        self.configured = names_of(config.known)  # what the next process begins with, as far as is known
-        self.unnoted = set(self.configured)  # endpoints that the journal may not know as the list does
+        self.unnoted = names_of(config.known)  # endpoints that the journal may not know as the list does
         self.intake = Intake(config.settings, self.classes, self.tenants, self._knows_destination)
         self.dests: dict[int, float] = {}  # destinations that are known though none is listed: until when
         self.figures = Figures(self.classes, self.invariants)
@@ -584,7 +583,7 @@
         names = {name for name in self.unnoted if name not in self.directory.reports}
         if not names:
             return
-        unlisted = {name for name in names & self.configured if not self.directory.is_ready(name)}
+        unlisted = {name for name in names if not self.directory.is_ready(name)}
         if self._journal(lambda: self.journal.says_unlisted(unlisted, names)):
             self.unnoted -= names
 
--- a/tests/test_unready_reports.py
+++ b/tests/test_unready_reports.py
@@ -13,6 +13,7 @@
 from linnetstile.net.agent import Silent
 from linnetstile.net.bounded_names import BoundedNames
 from linnetstile.net.discovery import Directory
+from linnetstile.net.host import Host
 from linnetstile.net.journal import Journal
 from linnetstile.net.replacement import Replacement
 from linnetstile.unready_reports import UnreadyReports
@@ -197,3 +198,54 @@
         await new.close()
 
     run(work())
+
+
+async def _restarted(host: Host, state: Path, *servers: Server) -> Host:
+    """The next process, with a list of these and a discovery that says nothing."""
+    await host.close()
+    successor = host_of(state, await SilentDiscovery().start(), *servers, settings=ASKED)
+    await successor.start()
+    return successor
+
+
+def test_a_restart_does_not_call_what_was_added_after_the_last_start_and_drained(tmp_path: Path) -> None:
+    """Guards against a list older than what the relay was told: review/5."""
+
+    async def work() -> None:
+        state = tmp_path / "state"
+        state.mkdir()
+        discovery = await Agent().start()
+        stays, added = await Server().start(), await Server().start()
+        host = host_of(state, discovery, stays, settings=ASKED)
+        await host.start()
+        discovery.tell(listing(added, generation=2, reset=False))
+        await until(lambda: host.directory.is_ready(name_of(added)))
+        discovery.tell(listing(added, generation=3, reset=False, state="draining"))
+        await until(lambda: not host.directory.is_ready(name_of(added)))
+        for _ in range(2):  # also one that discovery never told itself
+            host = await _restarted(host, state, stays, added)
+            assert host.directory.is_ready(name_of(stays)) and not host.directory.is_ready(name_of(added))
+        await host.close()
+
+    run(work())
+
+
+def test_what_is_not_in_a_whole_list_any_more_is_remembered_and_what_is_ready_again_is_not(
+    tmp_path: Path,
+) -> None:
+    async def work() -> None:
+        state = tmp_path / "state"
+        state.mkdir()
+        discovery = await Agent().start()
+        host = host_of(state, discovery, ONE, settings=ASKED)
+        await host.start()
+        discovery.tell(listing(OTHER, generation=2, reset=False))
+        discovery.tell(listing(ONE, generation=3))
+        await until(lambda: host.directory.version == 3)
+        assert host.journal.unlisted == {"s-2"}
+        discovery.tell(listing(OTHER, generation=4, reset=False))
+        await until(lambda: host.directory.version == 4)
+        assert host.journal.unlisted == set()
+        await host.close()
+
+    run(work())
