Tell a process that appears of waits that are not over, and heed a dead one's

What callers would see: a destination that told a wait is called before it is over, if the process that was told is killed beside a second one before it has handed its calls over. Found by going through all that a process is told.

Cause: waits went to the other process as they were told, and all at the hand-over: one told before the second process appeared was not. And the word of a process that had died since was passed over, read or not.

Change: whoever meets another process tells it of the waits that are not over; the word of one that was met living counts also after its end. A restart alone ends a wait, as PROTOCOL has it: what a dead file says at a start is not heard.

--- a/linnetstile/control.py
+++ b/linnetstile/control.py
@@ -719,6 +719,14 @@
             self.ejections.see(now, lane)
             self.board.look(event.destination)
 
+    def waiting_destinations(self, now_ms: float) -> set[int]:
+        """Those of which a told wait is not over."""
+        return {
+            dest
+            for dest, lanes in self.lanes.items()
+            if any(lane.wait_until > now_ms for lane in lanes.values())
+        }
+
     def known(self, dests: set[int] | None = None) -> list[Learned]:
         """What the other process needs to know of these destinations, or of all."""
         return [
--- a/linnetstile/net/other_journal.py
+++ b/linnetstile/net/other_journal.py
@@ -29,6 +29,7 @@
         except OSError:
             self.close()
             raise
+        self.met_living = not self.dead
 
     def look(self) -> None:
         """Reads what has come, and sees whether its process has ended. FileNotFoundError: it is removed."""
--- a/linnetstile/net/replacement.py
+++ b/linnetstile/net/replacement.py
@@ -11,6 +11,7 @@
 
 from .. import interface as api
 from ..control import Relay
+from . import clock
 from .discovery import Directory
 from .journal import Entry, Journal, JournalError
 from .other_journal import OtherJournal
@@ -37,6 +38,7 @@
         self.journal, self.relay, self.directory = journal, relay, directory
         self.turn, self.take_up, self.withdrawn = turn, take_up, withdrawn
         self.reported_unready = reported_unready  # endpoints, as another process was told
+        self.waits_said = False  # the other process knows of the waits that this one was told before
         self.serving = self.stopping = False
         self.mode = api.Mode.CALLS
         self.elsewhere = api.Elsewhere()
@@ -72,6 +74,7 @@
                 self.withdrawn(ident)
         if unready := self.journal.others.unready_since():
             self.reported_unready(unready)
+        self._say_waits()
         self._decide()
         try:
             for other in list(self.journal.others.values()):
@@ -124,7 +127,8 @@
 
     def _told(self) -> list[api.Learned]:
         events = []
-        for other in self.journal.living:
+        # Also of one that has died since: what it was told binds whoever lives.
+        for other in [each for each in self.journal.others.values() if each.met_living]:
             for (dest, name), told in other.lanes.items():
                 if self.heard.get((other.number, dest, name)) is told:
                     continue
@@ -186,6 +190,17 @@
         except JournalError as error:
             log.error("%s", error)
 
+    def _say_waits(self) -> None:
+        """Once another process has appeared: it hears of later ones as they are told."""
+        if self.waits_said == self.pair:
+            return
+        self.waits_said = self.pair
+        if self.pair:
+            try:
+                self._say_lanes(self.relay.waiting_destinations(clock.now_ms()))
+            except JournalError as error:
+                log.error("%s", error)
+
     def _say_lanes(self, dests: set[int] | None) -> None:
         for learned in self.relay.known(dests):
             route = self.directory.by_number.get(learned.endpoint)
--- a/tests/test_told_wait.py
+++ b/tests/test_told_wait.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from linnetstile import interface as api
+from linnetstile.control import Relay
+from linnetstile.net import clock
 from linnetstile.net import egress as egress_module
+from linnetstile.net.discovery import Directory, Known
 from linnetstile.net.egress import Call
+from linnetstile.net.journal import Journal
 from linnetstile.net.link import Link
+from linnetstile.net.replacement import Replacement
 
 from .conftest import Driver
 from .loopback import Client, message, run, until
@@ -190,3 +196,42 @@
     d.answer(first, api.Outcome.FULL)
     d.pass_time(200)
     assert other in d.tries
+
+
+def waits_until(relay: Relay) -> float:
+    return relay.lanes[1][-1].wait_until
+
+
+def test_a_wait_told_before_another_process_appeared_or_right_before_a_kill_binds_the_one_that_lives(
+    tmp_path: Path,
+) -> None:
+    """Guards against a process that is killed before it hands its calls over."""
+    drivers, followers = list[Driver](), list[Replacement]()
+    for seed in (1, 2):
+        driver = Driver(seed=seed, now=clock.now_ms())
+        directory = Directory((), ())
+        directory.by_number[1] = Known("s-1", api.Endpoint(1, 1, api.Listing.READY), ("127.0.0.1", 1))
+
+        def turn(events: list[api.Event], driver: Driver = driver) -> None:
+            driver.feed(*events)
+
+        driver.listed((1, 1))
+        drivers.append(driver)
+        journal = Journal(tmp_path, 3_000_000)
+        followers.append(Replacement(journal, driver.relay, directory, turn, lambda _: None, lambda _: None))
+        if seed == 1:
+            driver.answer(driver.message(), api.Outcome.FULL, wait=5000.0)
+            first_ms = waits_until(driver.relay)
+            assert first_ms > driver.now
+    (old, new), (old_follows, new_follows) = drivers, followers
+    new_follows.follow()
+    assert waits_until(new.relay) < first_ms
+    old_follows.follow()
+    new_follows.follow()
+    assert waits_until(new.relay) == first_ms
+    old.relay.lanes[1][-1].wait_until = first_ms + 1000.0
+    old_follows._say_lanes({1})
+    os.close(old_follows.journal.file)  # killed, before the other has read that
+    new_follows.follow()
+    assert waits_until(new.relay) == first_ms + 1000.0
+    new_follows.journal.close()
