Keep the operators' drain in the state folder, for all processes of the relay

Cause: the drain was a flag in the memory of the process that was called.

Change: a file in the state folder, `draining`, written by the call before it is answered and looked at by each process: the last call to either of two decides. Where the folder fails, it holds in that process and is written later.

--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -34,6 +34,7 @@
 from .management import Answer as Told
 from .management import Call as Ask
 from .management import ManagementServer
+from .operator_drain import OperatorDrain
 from .outcomes import Notices
 from .process_memory import resident_bytes
 from .records import WITHDRAWN
@@ -99,6 +100,7 @@
         self.ingress = Ingress(self.take, self.withdraw, 1, config.sockets // 12, self.invariants)
         self.ingress.bind(*config.listen)  # before the journal: nothing is touched if another has the address
         try:
+            self.operator_drain = OperatorDrain(config.state)
             self.journal = Journal(config.state, config.disk_bytes)
         except OSError:
             self.ingress.unbind()
@@ -121,7 +123,6 @@
         self.egress.on_answer = partial(self.checks.answer, Peer.ENDPOINT)
         self.untold: dict[str, Entry] = {}  # ended, but not on file yet: told by their time at the latest
         self.found: set[str] = set()  # ids that an earlier process left: their time may be over
-        self.draining = False  # clients are sent away until a resume
         self.stopping = False
         self.management: ManagementServer | None = None
         self.loop: asyncio.AbstractEventLoop | None = None
@@ -215,6 +216,7 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.news.wait(), NEWS_S)
         await once_possible(self._listen)
+        self._send_away()
         self.replacement.serving = True
         self.replacement.follow()  # before operators are told: they end the other process then
         self.ready = True
@@ -295,9 +297,14 @@
         why = "stopping" if self.stopping else "draining" if self.draining else "starting"
         return Told(503, f"takes no clients: {why}")
 
+    @property
+    def draining(self) -> bool:
+        """Whether clients are sent away until a resume, which another process may have been told."""
+        return self.operator_drain.active
+
     def drain(self, on: bool) -> Told:
-        """The flag holds at once, whatever the loop is at; connections follow with its next turn."""
-        self.draining = on
+        """Holds at once, whatever the loop is at; connections follow with its next turn."""
+        self.operator_drain.set(on)
         if self.loop is not None:
             self.loop.call_soon_threadsafe(self._send_away)
         return Told(200, "draining" if on else "serving")
@@ -376,6 +383,8 @@
                     self._tell(on_file)
                 self.replacement.follow()
                 self._share()
+                if self.operator_drain.look():
+                    self._send_away()
             except Exception:
                 log.exception("the other process's journal could not be followed")
 
