Take lists in pieces of any size, a few at a time

Cause: the bound on an answer's pieces, which guards the loop against endless tiny ones from endpoints, held for the platform's answers as well.

Change: the platform's answers may come in pieces of any size, read 16 KB at a time, and 2 KB once they are tiny. Endpoints' answers are bounded as before.

Both cases of the new test fail without it.

--- a/linnetstile/net/agent.py
+++ b/linnetstile/net/agent.py
@@ -75,6 +75,7 @@
         self.link = link = await Link.open(self.address, ANSWER_BYTES)
         self.reuse.connected(self.address, asyncio.get_running_loop().time() - began)
         self.in_doubt, self._reached = False, True
+        link.takes_any_pieces = True
         link.on_answer = self.on_answer
         link.on_unsolicited = self._unsolicited
         link.on_idle_end = self._idle_end
--- a/linnetstile/net/link.py
+++ b/linnetstile/net/link.py
@@ -20,6 +20,8 @@
 READ_BUFFER = memoryview(bytearray(64 * 1024))  # all read into it, one at a time on the loop's thread
 PIECES = 256  # heads and chunks of one answer, at most: reading endless tiny ones would hold up the loop;
 PIECE_BYTES = 1024  # and one more for so many bytes of its body: large answers come in many that are not tiny
+PLATFORM_READ_BYTES = 16 * 1024  # read at once where pieces of any size are taken: it bounds a turn,
+TINY_READ_BYTES = 2 * 1024  # and so many once an answer has come in tiny ones
 FIRST_LINE = re.compile(rb"HTTP/\d\.\d (\d{3})(?: [^\r\n]*)?\r?\n")
 HEAD_END = re.compile(rb"\r?\n\r?\n")
 Headers = list[tuple[str, str]]
@@ -79,6 +81,7 @@
         self.start = bytearray()  # of the answer, until its status is known
         self.body = bytearray()
         self.pieces = 0
+        self.takes_any_pieces = False  # a list may come in tiny ones: they are read a few at a time
         self.calls = 0  # this one included
         self.rested = 0.0  # seconds between the last answer and this call
         self.rested_to_end = 0.0  # and the last byte of its request
@@ -216,7 +219,13 @@
             self.flushed.set_result(None)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return READ_BUFFER
+        if not self.takes_any_pieces:
+            return READ_BUFFER
+        return READ_BUFFER[: TINY_READ_BYTES if self._has_tiny_pieces else PLATFORM_READ_BYTES]
+
+    @property
+    def _has_tiny_pieces(self) -> bool:
+        return self.pieces > PIECES + len(self.body) // PIECE_BYTES
 
     def buffer_updated(self, nbytes: int) -> None:
         self.data_received(bytes(READ_BUFFER[:nbytes]))
@@ -286,7 +295,7 @@
             while True:
                 event = self.http.next_event()
                 self.pieces += 1
-                if self.pieces > PIECES + len(self.body) // PIECE_BYTES:
+                if self._has_tiny_pieces and not self.takes_any_pieces:
                     self._lose("the answer has too many pieces")
                     return
                 match event:
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -13,12 +13,14 @@
 from linnetstile.net.agent import Agent as AgentLink
 from linnetstile.net.agent import Silent
 from linnetstile.net.discovery import Directory, Watch
+from linnetstile.net.link import PLATFORM_READ_BYTES, Link
 
 from .loopback import Agent, answer, listing, run, until
 from .virtual_time import run_virtual
 
 TOLD_S = 6.0  # a change counts as told so long after discovery had it and could be reached
 KEPT_S = 2.0  # so long discovery lets a call wait
+ENTRIES = 400  # of a list, 170 bytes each
 
 
 @pytest.mark.parametrize(("relays", "most"), [(1, 0.12), (8, 0.96), (48, 3.85), (1900, 3.85)])
@@ -223,3 +225,31 @@
         assert len(directory.by_name) == 20_000
 
     run(work())
+
+
+@pytest.mark.parametrize("chunk", [1, 170])
+def test_a_list_in_tiny_pieces_is_read_a_few_at_a_time(chunk: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a list that is passed over for its pieces, and a loop that stands still: review/9."""
+
+    async def work() -> None:
+        agent = Agent()
+        await agent.start()
+        body = b"x" * 170 * ENTRIES
+        parts = [body[at : at + chunk] for at in range(0, len(body), chunk)]
+        agent.changes.put_nowait(
+            b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in [*parts, b""])
+        )
+        read, most_pieces = Link._read, 0
+
+        def counted(link: Link, data: bytes) -> None:
+            nonlocal most_pieces
+            before = link.pieces
+            read(link, data)
+            most_pieces = max(most_pieces, link.pieces - before)
+
+        monkeypatch.setattr(Link, "_read", counted)
+        assert await AgentLink(agent.address).ask("GET", "/v1/servers", b"", 30.0) == (200, body)
+        assert most_pieces <= PLATFORM_READ_BYTES // len(b"1\r\nx\r\n") + 2
+
+    run(work())
