Leave connections for second tries where first tries of notices stay unanswered

Cause: ends that came within 80 ms of each other took all six for their first tries; no second try, which goes over a new connection, found one.

Change: first tries alone hold four at once, but for those that have been answered over another connection since.

--- a/linnetstile/net/outcomes.py
+++ b/linnetstile/net/outcomes.py
@@ -32,6 +32,9 @@
 SHORT_HEDGES = 3
 TOGETHER_S = 0.03  # a second try so close to another's goes with it
 WAYS = 6  # connections: while one notice holds four that say nothing, the next finds another
+FIRST_TRY_WAYS = (
+    4  # that first tries hold at once: kept connections fall silent together, and second tries go on
+)
 # An end counts as lost soon after its message's time, so the first tries after a failed request follow one
 # another quickly. Older notices wait for pauses that grow.
 URGENT_S = 0.6
@@ -90,6 +93,7 @@
         self.agent = agent
         self.ways = [agent] + [Agent(agent.address, agent.reuse) for _ in range(WAYS - 1)]
         self.last_told: dict[Agent, list[Told]] = {}  # by the last answer on that connection
+        self.first_tries: dict[Agent, list[str]] = {}  # by the connection, where nothing else goes with them
         for way in self.ways:
             way.on_unsolicited, way.on_answer = agent.on_unsolicited, agent.on_answer
             way.on_doubt = partial(self._doubt, way)
@@ -128,9 +132,13 @@
                     await self._until(self.quiet_until)
                     continue
                 due = self._due(now)
-                while due and self.free:
-                    idents, due = due[: self.batch], due[self.batch :]
-                    way = self._way(again=any(self.waiting[ident].tries for ident in idents))
+                while self.free and (idents := self._next_batch(due)):
+                    sent = set(idents)
+                    due = [ident for ident in due if ident not in sent]
+                    again = self._has_second_try(idents)
+                    way = self._way(again)
+                    if not again:
+                        self.first_tries[way] = idents
                     requests.create_task(self._send(way, idents, self._lines(idents, now)))
                 later = [notice.due_at for notice in self.waiting.values() if notice.due_at > now]
                 await self._until(min(later, default=None))  # or until a connection is free again
@@ -146,6 +154,21 @@
             ]
         return due
 
+    def _has_second_try(self, idents: list[str]) -> bool:
+        return any(self.waiting[ident].tries for ident in idents)
+
+    def _next_batch(self, due: list[str]) -> list[str]:
+        """What goes out together now; first tries alone leave connections for second ones."""
+        if self._unanswered_first_tries() < FIRST_TRY_WAYS:
+            return due[: self.batch]
+        second_tries_first = sorted(due, key=lambda ident: not self.waiting[ident].tries)
+        batch = second_tries_first[: self.batch]
+        return batch if self._has_second_try(batch) else []
+
+    def _unanswered_first_tries(self) -> int:
+        """Connections; not those whose notices have been answered over others since."""
+        return sum(any(ident in self.waiting for ident in idents) for idents in self.first_tries.values())
+
     def _way(self, again: bool) -> Agent:
         """A connection that is free: the soonest that may carry it, and of those the one that answered last.
         For what goes out again it is a new one, and none that was kept is used any more: connections to one
@@ -188,6 +211,7 @@
             log.exception("notices: a batch could not be sent")
             self._failed(idents)
         finally:
+            self.first_tries.pop(way, None)
             if way in self.ways:
                 self.free.insert(0, way)
             self.wake.set()
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -290,3 +290,43 @@
         task.cancel()
 
     run_virtual(work())
+
+
+def test_ends_are_told_in_time_once_all_kept_connections_have_fallen_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards a clump of ends against first tries that hold every connection: review/6."""
+    path_s, gap_s, ends = 0.019, 0.006, 24
+    new, came = set[AgentLink](), dict[str, float]()
+    began_s = dict[str, float]()
+
+    async def ask(link: AgentLink, method: str, target: str, body: bytes, s: float) -> tuple[int, bytes]:
+        loop = asyncio.get_running_loop()
+        if link not in new:
+            await asyncio.sleep(s)
+            new.add(link)
+            raise Silent("no answer")
+        await asyncio.sleep(3 * path_s)  # the handshake, and the way there
+        for line in body.splitlines():
+            came.setdefault(line.decode().split('"')[3], loop.time())
+        await asyncio.sleep(path_s)
+        return 204, b""
+
+    monkeypatch.setattr(AgentLink, "ask", ask)
+    monkeypatch.setattr(AgentLink, "close", lambda link: new.add(link))
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        notices = Notices(AgentLink(("127.0.0.1", 1)), lambda idents: None)
+        task = asyncio.ensure_future(notices.run())
+        for number in range(ends):
+            began_s[str(number)] = loop.time()
+            notices.add(str(number), "returned")
+            await asyncio.sleep(gap_s)
+        await asyncio.sleep(5.0)
+        assert came.keys() == began_s.keys() and not notices.waiting and len(notices.free) == outcomes.WAYS
+        latest_s = max(came[ident] - began_s[ident] for ident in came)
+        assert latest_s < TOO_LATE_S, f"told after {latest_s:.2f} s"
+        task.cancel()
+
+    run_virtual(work())
