Let the soak see a state folder that is too large, and a file left behind

Change: the folder's size is measured before each signal, and what is there besides journals after a planned end that was in time.

--- a/linnetstile/soak/relay.py
+++ b/linnetstile/soak/relay.py
@@ -15,12 +15,13 @@
 
 from .ledger import Ledger, Restart
 from .platform import Platform
+from .state_folder import breaches_of_an_end, breaches_of_size
 
 ROOT = Path(__file__).parents[2]
 DOWN_S = 0.6  # from SIGKILL to the next start (PROTOCOL, "Figures")
 KILL_AFTER_TERM_S = 3.7
 READY_LOOK_S = 0.01
-SOCKETS, MEMORY_MB = 1024, 32  # the most and the least that the pages name
+SOCKETS, MEMORY_MB, DISK_MB = 1024, 32, 3  # the most and the least that the pages name
 READY_MOST_S = 30.0
 HEALTH = b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 
@@ -40,11 +41,16 @@
     moves: list[Platform] = field(default_factory=list)  # the addresses of before
 
     def __post_init__(self) -> None:
-        (self.folder / "state").mkdir(parents=True)
+        self.state.mkdir(parents=True)
         self.known = self.platform.listing.whole()
         self.set_failing()
         self.ledger.restarts.setdefault(self.number, [])
 
+    @property
+    def state(self) -> Path:
+        """The folder that lasts."""
+        return self.folder / "state"
+
     @property
     def log(self) -> Path:
         return self.folder / "log"
@@ -67,8 +73,8 @@
                 "listen": "{}:{}".format(*self.address),
                 "discovery": "{}:{}".format(*self.platform.address),
                 "seed": f"{random.getrandbits(64):x}",
-                "state": str(self.folder / "state"),
-                "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB, "disk_mb": 3},
+                "state": str(self.state),
+                "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB, "disk_mb": DISK_MB},
                 "known": self.known,
                 "settings": self.settings,
             },
@@ -142,6 +148,7 @@
             self.ledger.seen.append(f"crash: relay {self.number} had ended with {code}")
             return
         self._note_peak()
+        self.ledger.seen += breaches_of_size(self.state, DISK_MB * 1_000_000)
         self.process.send_signal(how)
         try:
             async with asyncio.timeout(KILL_AFTER_TERM_S):
@@ -177,6 +184,8 @@
     async def stop(self) -> None:
         """Ends it for good, as at a planned restart."""
         await self._end(signal.SIGTERM)
+        if self.process is not None and self.process.returncode == 0:
+            self.ledger.seen += breaches_of_an_end(self.state)
 
     def kill(self) -> None:
         if self.process is not None and self.process.returncode is None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,8 +12,10 @@
 from linnetstile.soak.ledger import Attempt, HandIn, Ledger, Restart, Told, Wait
 from linnetstile.soak.run import Plan, play
 from linnetstile.soak.stand_in import Connection, Request
+from linnetstile.soak.state_folder import breaches_of_an_end, breaches_of_size
 
 DUE = 110.0
+DISK_BYTES = 3_000_000
 
 
 def ledger(class_: str = "safe") -> Ledger:
@@ -149,3 +151,11 @@
             assert [str(breach) for breach in result.breaches] == []
 
     asyncio.run(work())
+
+
+def test_the_soak_sees_a_folder_that_is_too_large_and_a_file_that_is_left_behind(tmp_path: Path) -> None:
+    (tmp_path / "journal-3").write_bytes(bytes(DISK_BYTES - 1000))
+    assert breaches_of_size(tmp_path, DISK_BYTES) == [] == breaches_of_an_end(tmp_path)
+    (tmp_path / "journal.new").write_bytes(bytes(1001))
+    (size,), (left,) = breaches_of_size(tmp_path, DISK_BYTES), breaches_of_an_end(tmp_path)
+    assert size.startswith("crash: ") and left == "folder: journal.new is left behind"
