--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -288,8 +288,8 @@
 
     def says_unlisted(self, names: set[str], among: set[str]) -> None:
         """Which of these endpoints are not ready any more, as discovery has told; the others of them are."""
-        listed = [name for name in sorted(among - names) if self._is_unready(name)]
-        unlisted = [name for name in sorted(names) if name not in self.told_unready]
+        listed = sorted(name for name in among - names if self._is_unready(name))
+        unlisted = sorted(name for name in names if name not in self.told_unready)
         changes = [("unlisted", unlisted), ("listed", listed)]
         self._record(
             *({"k": kind, "names": list(some)} for kind, changed in changes for some in in_parts(changed))
@@ -297,7 +297,7 @@
 
     def heard_unlisted(self, names: set[str]) -> None:
         """The same of endpoints of which another process of this relay was told: it binds also the next."""
-        new = [name for name in sorted(names) if not self._is_unready(name)]
+        new = sorted(name for name in names if not self._is_unready(name))
         self._record(*({"k": "unlisted", "names": list(some), "heard": True} for some in in_parts(new)))
 
     def _is_unready(self, name: str) -> bool:
