Send clients away at a start only where the relay is drained

Cause: each start told the door that clients are welcome, drained or not, which says nothing new. Change: a start sends clients away if the relay is drained, and else nothing.

--- a/linnetstile/net/host.py
+++ b/linnetstile/net/host.py
@@ -216,7 +216,8 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.news.wait(), NEWS_S)
         await once_possible(self._listen)
-        self._send_away()
+        if self.draining:
+            self._send_away()
         self.replacement.serving = True
         self.replacement.follow()  # before operators are told: they end the other process then
         self.ready = True
