--- a/linnetstile/net/book.py
+++ b/linnetstile/net/book.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import math
 from collections.abc import Iterable
@@ -10,7 +9,7 @@
 
 from . import clock
 from .bounded_names import BoundedNames
-from .records import TORN, WITHDRAWN, Attempt, Entry, decode, entry_of, settled
+from .records import TORN, WITHDRAWN, Attempt, Entry, decode, entry_of, settled, text_bytes
 
 log = logging.getLogger(__name__)
 
@@ -222,12 +221,7 @@
 def _line_bytes(entry: Entry) -> int:
     """Of an entry's line in a compacted file, at most, with what its later records add to it."""
     if entry.is_settled:
-        return SETTLED + _text_bytes(entry.id)
-    size = sum(map(_text_bytes, (entry.id, entry.class_, entry.tenant, entry.key or "")))
+        return SETTLED + text_bytes(entry.id)
+    size = sum(map(text_bytes, (entry.id, entry.class_, entry.tenant, entry.key or "")))
     body = 0 if entry.end or entry.borrowed else 4 * ((len(entry.body) + 2) // 3)
     return size + body + (ENDED if entry.end else SMALL)
-
-
-def _text_bytes(text: str) -> int:
-    """As JSON: quotes and backslashes take two."""
-    return len(json.dumps(text))
--- a/linnetstile/net/bounded_names.py
+++ b/linnetstile/net/bounded_names.py
@@ -4,7 +4,9 @@
 
 from collections.abc import Iterable, Iterator
 
-QUOTES_AND_COMMA = 3  # bytes beside a name in a record
+from .records import text_bytes
+
+COMMA_BYTES = 1  # behind a name in a record
 
 
 class BoundedNames:
@@ -26,7 +28,7 @@
         for name in names:
             self.discard((name,))
             self._names[name] = None
-            self.record_bytes += len(name.encode()) + QUOTES_AND_COMMA
+            self.record_bytes += text_bytes(name) + COMMA_BYTES
         while len(self._names) > self._most:
             self.discard((next(iter(self._names)),))
 
@@ -34,7 +36,7 @@
         for name in names:
             if name in self._names:
                 del self._names[name]
-                self.record_bytes -= len(name.encode()) + QUOTES_AND_COMMA
+                self.record_bytes -= text_bytes(name) + COMMA_BYTES
 
     def clear(self) -> None:
         self._names.clear()
--- a/linnetstile/net/records.py
+++ b/linnetstile/net/records.py
@@ -74,6 +74,11 @@
     return b"%08x %s\n" % (zlib.crc32(text), text)
 
 
+def text_bytes(text: str) -> int:
+    """What it takes in a record: quotes and backslashes take two bytes, what is not ASCII takes six."""
+    return len(json.dumps(text))
+
+
 def decode(line: bytes) -> dict[str, Any]:
     """ValueError if it is not a whole record as written."""
     check, _, text = line.partition(b" ")
--- a/tests/test_unready_reports.py
+++ b/tests/test_unready_reports.py
@@ -161,6 +161,8 @@
     names.add(["a", "b", "c"])
     names.add(["a", "d"])
     assert list(names) == ["c", "a", "d"] and names.record_bytes == 12
+    names.add(['"\\é'])
+    assert names.record_bytes == 8 + len(r'"\"\\\u00e9",')
     journal = Journal(tmp_path, DISK)
     journal.says_unlisted({"x" * 97}, {"x" * 97})
     assert journal.live == 100
