--- a/linnetstile/net/book.py
+++ b/linnetstile/net/book.py
@@ -29,7 +29,7 @@
     def __init__(self) -> None:
         self.entries: dict[str, Entry] = {}
         self.sizes: dict[str, int] = {}  # of each entry's line, were it compacted now
-        self.live = 0  # their sum
+        self.entries_bytes = 0  # their sum
         self.first_over_ms = math.inf  # when the first of those that have ended may be forgotten
         self.role = ""  # of its process: see replacement.py
         self.calls: dict[str, int] = {}  # out while it yields, by destination
@@ -43,6 +43,11 @@
         self.boot: str | None = None  # of the latest record; None: none has told yet
         self.latest_ms = 0.0  # the latest record's time
 
+    @property
+    def live(self) -> int:
+        """What a compaction would leave, at most."""
+        return self.entries_bytes + self.told_unready.record_bytes + self.heard_unready.record_bytes
+
     # -- reading -----------------------------------------------------------------------------------------
 
     def _records(self, lines: Iterable[bytes]) -> None:
@@ -117,17 +122,12 @@
 
     def _unready(self, names: list[str], heard: bool) -> None:
         self._ready(names)
-        kept = self.heard_unready if heard else self.told_unready
-        before = kept.record_bytes
-        kept.add(names)
-        self.live += kept.record_bytes - before
+        (self.heard_unready if heard else self.told_unready).add(names)
 
     def _ready(self, names: list[str]) -> None:
         self.unready_changes += 1
         for kept in (self.told_unready, self.heard_unready):
-            self.live -= kept.record_bytes
             kept.discard(names)
-            self.live += kept.record_bytes
 
     @property
     def unlisted(self) -> set[str]:
@@ -196,7 +196,7 @@
 
     def _put(self, entry: Entry) -> None:
         size = _line_bytes(entry)
-        self.live += size - self.sizes.get(entry.id, 0)
+        self.entries_bytes += size - self.sizes.get(entry.id, 0)
         self.entries[entry.id], self.sizes[entry.id] = entry, size
         if entry.end:
             self.first_over_ms = min(self.first_over_ms, entry.due)
@@ -204,7 +204,7 @@
     def _forget(self, ident: str) -> None:
         self.repeated_ids.discard(ident)
         if self.entries.pop(ident, None) is not None:
-            self.live -= self.sizes.pop(ident)
+            self.entries_bytes -= self.sizes.pop(ident)
 
     def forget_old(self, now_ms: float) -> None:
         """The ended whose time is up: until then a repeated id gets its answer again."""
--- a/linnetstile/net/other_journal.py
+++ b/linnetstile/net/other_journal.py
@@ -58,7 +58,7 @@
         os.close(old)
         for kept in (self.entries, self.sizes, self.told_unready, self.heard_unready):
             kept.clear()
-        self.live = self.sequence = 0
+        self.entries_bytes = self.sequence = 0
         self._read()
 
     def withdrawn_since(self) -> list[str]:
