Take the time of a request from the agent that sent it

Cause: each hedge kept the time at which it was asked beside its agent, which keeps the same. And the test of it expected 0.0, the value that is there before any request: it couldn't have told whether the time was taken over. Change: one place keeps it; the test's first request begins at 0.5 s, and the stand-in for a connection says when it was asked, as the real one does. Measured: the test fails where the time is not taken over (a trial; it passed before), and passes.

--- a/linnetstile/net/hedged_agent.py
+++ b/linnetstile/net/hedged_agent.py
@@ -23,7 +23,6 @@
 
     agent: Agent
     answer: asyncio.Task[tuple[int, bytes]]
-    asked_at_s: float  # on the loop's clock
 
     @property
     def failed(self) -> bool:
@@ -111,9 +110,8 @@
         agent = self._another() if self._has_request(self._main) else self._main
         agent.on_unsolicited, agent.on_answer = self.on_unsolicited, self.on_answer
         self._latest = agent
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(agent.ask(method, target, body, LONGEST_S))
-        hedge = Hedge(agent, task, loop.time())
+        task = asyncio.get_running_loop().create_task(agent.ask(method, target, body, LONGEST_S))
+        hedge = Hedge(agent, task)
         self._hedges.append(hedge)
         return hedge
 
@@ -129,7 +127,7 @@
             self._main.close()
             self._main = best.agent
         self._hedges.clear()
-        self.asked_at_s = best.asked_at_s
+        self.asked_at_s = best.agent.asked_at_s
         return best.answer.result()
 
     def _forget_failed(self) -> None:
--- a/tests/test_slow_lists.py
+++ b/tests/test_slow_lists.py
@@ -66,6 +66,7 @@
     async def ask(self, method: str, target: str, body: bytes, seconds: float) -> tuple[int, bytes]:
         told = dict(part.split("=") for part in target.partition("?")[2].split("&") if part)
         service = self.service
+        self.asked_at_s = asyncio.get_running_loop().time()
         service.out += 1
         service.most_out = max(service.most_out, service.out)
         try:
--- a/tests/test_unready_reports.py
+++ b/tests/test_unready_reports.py
@@ -24,6 +24,7 @@
 from .virtual_time import run_virtual
 
 DISK = 3_000_000
+FIRST_ASKED_S = 0.5
 ASKED = {**SETTINGS, "registry-mode": "ask"}
 ONE, OTHER = Server(address=("127.0.0.1", 1)), Server(address=("127.0.0.1", 2))
 
@@ -101,11 +102,12 @@
 def test_the_answer_of_an_older_request_does_not_count_as_asked_for_later() -> None:
     async def work() -> None:
         discovery = Hedged(Service(delay_s=4.0))
+        await asyncio.sleep(FIRST_ASKED_S)
         with pytest.raises(Silent):
             await discovery.ask("GET", "/v1/servers", b"", 1.0)
         await asyncio.sleep(1.0)
         await discovery.ask("GET", "/v1/servers", b"", 10.0)
-        assert discovery.asked_at_s == 0.0
+        assert discovery.asked_at_s == FIRST_ASKED_S
 
     run_virtual(work())
 
