Look at the state folder once a start and once a turn of following

Change: one list serves both; a record is still held against a fresh one. Beside it: a constant's comment is on its line. Measured: 123 tests of journals, folders, replacement and notices pass; what it saves was not measured.

--- a/linnetstile/net/journal.py
+++ b/linnetstile/net/journal.py
@@ -74,9 +74,10 @@
         self.unknown_records = 0  # of messages that are not known: a fault of this program
         self.closed = False
         self.failing = False  # the folder takes no records, and the log has said so
-        self._open()
+        contents = self.folder.contents()
+        self._open(max(contents.journals, default=-1))
+        self._measure_others(contents)
         try:
-            self._measure_others(self.folder.contents())
             self._restore()
             self._look()
         except OSError:
@@ -89,9 +90,9 @@
         self._find_bodies()
         self.flush()
 
-    def _open(self) -> None:
-        """Goes on with the file that ended last, unless a process with a later one runs: then begins one."""
-        last = max(self.folder.contents().journals, default=-1)
+    def _open(self, last: int) -> None:
+        """Goes on with the file that ended last, unless a process with a later one runs: then begins one.
+        `last`: the highest number of a file; -1: there is none."""
         if last >= 0:
             self._name(last)
             if self.journal_file.open():
@@ -135,7 +136,7 @@
         if self.folder.remove_leftover_spares(contents.spares, living, dead):
             contents = self.folder.contents()
         self._measure_others(contents)
-        self.budget.room_bytes = self.room
+        self.budget.room_bytes = self._room_beside_others()
 
     def _measure_others(self, contents: FolderContents) -> None:
         self.others_bytes = contents.bytes_besides(self.journal_file.names)
@@ -456,6 +457,10 @@
         """Bytes that this process's files may take: all that the others leave."""
         if self.others:  # they are written to between two looks
             self._measure_others(self.folder.contents())
+        return self._room_beside_others()
+
+    def _room_beside_others(self) -> int:
+        """As of when they were measured last."""
         return self.budget.room(self.others_bytes, bool(self.others))
 
     @property
--- a/linnetstile/net/outcomes.py
+++ b/linnetstile/net/outcomes.py
@@ -32,9 +32,7 @@
 SHORT_HEDGES = 3
 TOGETHER_S = 0.03  # a second try so close to another's goes with it
 WAYS = 6  # connections: while one notice holds four that say nothing, the next finds another
-FIRST_TRY_WAYS = (
-    4  # that first tries hold at once: kept connections fall silent together, and second tries go on
-)
+FIRST_TRY_WAYS = 4  # of them, for first tries: kept connections fall silent together, and second tries go on
 # An end counts as lost soon after its message's time, so the first tries after a failed request follow one
 # another quickly. Older notices wait for pauses that grow.
 URGENT_S = 0.6
