Measure the state folder in tests with the soak's one function

Cause: three test files summed the folder's blocks each for itself; the change brought a fourth copy, and a fifth in the soak. Change: the soak's folder_bytes serves all; what is asserted stays as it was.

--- a/tests/test_full_folder.py
+++ b/tests/test_full_folder.py
@@ -9,10 +9,11 @@
 
 import pytest
 
-from linnetstile.disk_budget import DiskBudget, FileSizes, in_blocks
+from linnetstile.disk_budget import DiskBudget, FileSizes
 from linnetstile.net import clock
 from linnetstile.net.records import WITHDRAWN
 from linnetstile.net.journal import Attempt, Entry, Journal, JournalError, JournalFull, encode, snapshot
+from linnetstile.soak.state_folder import folder_bytes
 
 DISK = 3_000_000
 BODY = bytes(60_000)
@@ -77,10 +78,6 @@
     return old, new, idents
 
 
-def used(folder: Path) -> int:
-    return sum(in_blocks(path.stat().st_size) for path in folder.iterdir())
-
-
 def end(journal: Journal, ident: str, now: list[float]) -> None:
     journal.tried(journal.entries[ident], now[0], "s-1", 0)
     journal.ended(journal.entries[ident], "delivered")
@@ -225,7 +222,7 @@
         old.settle()
         old.close()
     for number, ident in enumerate(idents):
-        assert used(tmp_path) <= DISK
+        assert folder_bytes(tmp_path) <= DISK
         if number % 5 == 2:  # and so does each process after further kills
             kill(new)
             new = Journal(tmp_path, DISK)
@@ -348,7 +345,7 @@
     for number in range(700):  # five seconds
         sweep_at = deliver_one(journal, now, number, sweep_at)
         assert not journal.waiting
-    assert "no room to compact" not in caplog.text and used(tmp_path) <= DISK
+    assert "no room to compact" not in caplog.text and folder_bytes(tmp_path) <= DISK
 
 
 def write_file(path: Path, size: int, now: list[float]) -> None:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -11,8 +11,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from linnetstile.disk_budget import BLOCK_BYTES as BLOCK
 from linnetstile.net.journal import Attempt, Entry, Journal, JournalError, JournalFull
+from linnetstile.soak.state_folder import folder_bytes
 
 DISK = 400_000
 
@@ -81,17 +81,13 @@
     assert (tmp_path / "other").read_bytes() == b""
 
 
-def disk(folder: Path) -> int:
-    return sum(-(-path.stat().st_size // BLOCK) * BLOCK for path in folder.iterdir())
-
-
 def test_the_folder_stays_under_its_limit_with_old_new_and_large_bodies(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     journal, rename, seen, full = Journal(tmp_path, DISK), os.rename, [0], 0
 
     def counted(old: Any, new: Any) -> None:
-        seen.append(disk(tmp_path))  # old and new lie side by side
+        seen.append(folder_bytes(tmp_path))  # old and new lie side by side
         rename(old, new)
 
     monkeypatch.setattr(os, "rename", counted)
@@ -106,7 +102,7 @@
                 journal.outcome(held, False)
             journal.ended(held, "failed")
             journal.told([held.id])
-        assert disk(tmp_path) <= DISK
+        assert folder_bytes(tmp_path) <= DISK
     assert full > 10 and len(seen) > 5 and max(seen) <= DISK
     held_now = {ident for ident, each in journal.entries.items() if not each.end}
     journal.close()
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -17,7 +17,6 @@
 
 from linnetstile import interface as api
 from linnetstile.control import Relay
-from linnetstile.disk_budget import BLOCK_BYTES as BLOCK
 from linnetstile.disk_budget import RESERVE_BYTES as SLACK
 from linnetstile.net import journal as journal_module
 from linnetstile.net.discovery import Directory
@@ -27,6 +26,7 @@
 from linnetstile.net.ingress import ACCEPTS
 from linnetstile.net.journal import Attempt, Entry, Journal, JournalError
 from linnetstile.net.replacement import TAKES, Replacement
+from linnetstile.soak.state_folder import folder_bytes
 
 from .conftest import SAFE, Driver, make_settings
 from .loopback import Agent, Client, Server, answer, host_of, listing, message, run, until
@@ -48,10 +48,6 @@
     return Request(line.split()[0], line.split()[1], headers, [body], len(body))
 
 
-def used(folder: Path) -> int:
-    return sum(-(-path.stat().st_size // BLOCK) * BLOCK for path in folder.iterdir())
-
-
 def traces(server: Server) -> Counter[str]:
     return Counter(seen.headers["x-trace-id"] for seen in server.seen)
 
@@ -346,7 +342,7 @@
                 refused[name] += 1
             if turn % 50 == 0:
                 each.tidy(1e13)
-            assert used(tmp_path) <= disk
+            assert folder_bytes(tmp_path) <= disk
     assert not refused, "what has ended makes room"
 
 
@@ -704,7 +700,7 @@
     assert all(new.taken_up(other, each) for each in other.left())
     for number in range(50):
         new.take(replace(entry(f"n{number}", bytes(250)), key="k" * 32))
-    assert used(tmp_path) <= DISK
+    assert folder_bytes(tmp_path) <= DISK
 
 
 def test_a_message_ends_in_its_time_however_late_its_turn_comes(
--- a/tests/test_state_folder.py
+++ b/tests/test_state_folder.py
@@ -11,9 +11,9 @@
 
 import pytest
 
-from linnetstile.disk_budget import in_blocks
 from linnetstile.net.journal import Entry, Journal, JournalError
 from linnetstile.net.journal_file import JournalFile
+from linnetstile.soak.state_folder import folder_bytes
 
 DISK = 3_000_000
 BODY = bytes(60_000)
@@ -29,10 +29,6 @@
     return Entry(ident, "safe", "t", 7, None, 1000.0, 9e12, "", BODY)
 
 
-def used(folder: Path) -> int:
-    return sum(in_blocks(path.stat().st_size) for path in folder.iterdir())
-
-
 def names(folder: Path) -> set[str]:
     return {path.name for path in folder.iterdir()}
 
@@ -162,11 +158,11 @@
             ]
             last = play.act(survivors[0] if survivors else "next")
             last.look()
-            assert last.folder_bytes == used(folder) <= DISK, (number, takes_effect)
+            assert last.folder_bytes == folder_bytes(folder) <= DISK, (number, takes_effect)
             assert any(settled(last) for _ in range(3)), (number, takes_effect)
             last.look()
             assert names(folder) == {last.path.name}, (number, takes_effect)
-            assert last.folder_bytes == used(folder)
+            assert last.folder_bytes == folder_bytes(folder)
             held = {ident for ident, each in last.entries.items() if not each.end and each.body == BODY}
             assert held >= set(play.accepted)
             system.end("old", "new", "next")
@@ -223,11 +219,11 @@
         assert journal.budget.room_bytes <= DISK - 700_000
         journal._compact()  # its own spare file stays as well
         journal.look()
-        assert journal.folder_bytes == used(tmp_path)
+        assert journal.folder_bytes == folder_bytes(tmp_path)
         assert names(tmp_path) == {"journal", "journal.new", "journal-7.new"}
     journal.says_role("serve")
     journal.look()
-    assert names(tmp_path) == {"journal"} and journal.folder_bytes == used(tmp_path)
+    assert names(tmp_path) == {"journal"} and journal.folder_bytes == folder_bytes(tmp_path)
 
 
 def test_a_file_of_nobody_is_counted_and_left_alone(tmp_path: Path) -> None:
@@ -235,4 +231,4 @@
     journal = Journal(tmp_path, DISK)
     journal.look()
     assert journal.budget.room_bytes <= DISK - 1_000_000
-    assert journal.folder_bytes == used(tmp_path) and (tmp_path / "notes").exists()
+    assert journal.folder_bytes == folder_bytes(tmp_path) and (tmp_path / "notes").exists()
